--- a/conf/conf.go
+++ b/conf/conf.go
@@ -1,7 +1,8 @@
-// Package conf reads the settings of a process from flags and environment
-// variables. A flag named --data-folder has the environment variable
-// DOTTERELDEAL_DATA_FOLDER; the flag wins. All faults in the settings are
-// collected and reported together with their place.
+// Package conf reads the settings of a process from flags, environment variables
+// and a settings file. A flag named --data-folder has the environment variable
+// DOTTERELDEAL_DATA_FOLDER and the line "data-folder = PATH" of the file that
+// --config names. The flag wins over the variable, and the variable over the file.
+// All faults in the settings are collected and reported together with their place.
 //
 // # Usage
 //
@@ -38,6 +39,11 @@
 	flags   *flag.FlagSet
 	values  []*value
 	found   check.Findings
+	// file is the flag of the settings file, and content what was read from it.
+	file    *value
+	content []byte
+	// lines are the settings of the file.
+	lines map[string]fileSetting
 }
 
 // New returns an empty set of settings for the named subcommand.
@@ -46,6 +52,8 @@
 	s.flags = flag.NewFlagSet(name, flag.ContinueOnError)
 	s.flags.SetOutput(io.Discard)
 	s.flags.Usage = func() {}
+	Var(s, fileFlag, "settings file with lines NAME = VALUE", func(text string) (string, error) { return text, nil })
+	s.file = s.values[0]
 	return s
 }
 
@@ -129,7 +137,7 @@
 
 // Addrs adds a setting that takes a comma-separated list of IP:PORT.
 func (s *Set) Addrs(name, usage string, opts ...VarOption) *[]netip.AddrPort {
-	return Var(s, name, usage, parseAddrs, opts...)
+	return Var(s, name, usage, ParseAddrs, opts...)
 }
 
 // Peers adds a setting that takes a comma-separated list of NAME=IP:PORT.
@@ -163,6 +171,7 @@
 		s.found.Add("command line", "%s", err)
 		args = s.flags.Args()
 	}
+	s.lines = s.readFile()
 	for _, v := range s.values {
 		s.resolve(v)
 	}
@@ -176,6 +185,9 @@
 			v.text, v.place = text, EnvName(v.name)
 		}
 	}
+	if line, ok := s.lines[v.name]; ok && v.place == "" {
+		v.text, v.place = line.text, line.place
+	}
 	if v.place == "" && v.required {
 		s.found.Add("--"+v.name, "is required (or %s)", EnvName(v.name))
 		return
--- a/conf/conf_test.go
+++ b/conf/conf_test.go
@@ -53,3 +53,40 @@
 	_, err := conf.ParseName("showroom-east-2")
 	is.NoErr(err)
 }
+
+func TestSettingsFile(t *testing.T) {
+	is := is.New(t)
+	file := "# a comment\nvm = e1\n\ndrain-limit = 3s\nseeds =\n"
+	set := conf.New("entry",
+		conf.Lookup(func(name string) (string, bool) {
+			env := map[string]string{"DOTTERELDEAL_CONFIG": "entry.conf", "DOTTERELDEAL_DRAIN_LIMIT": "4s"}
+			text, ok := env[name]
+			return text, ok
+		}),
+		conf.ReadFile(func(string) ([]byte, error) { return []byte(file), nil }),
+	)
+	vm := set.Name("vm", "", conf.Required())
+	limit := set.Duration("drain-limit", "", conf.Default("30s"))
+	seeds := set.Addrs("seeds", "")
+	is.NoErr(set.Parse(nil))
+	is.Equal(*vm, "e1")
+	is.Equal(*limit, 4*time.Second) // the variable wins over the file
+	is.Equal(len(*seeds), 0)        // a line without a value is left out
+	is.True(!set.Changed())
+	file += "seeds = 10.0.0.1:7000\n"
+	is.True(set.Changed())
+}
+
+func TestSettingsFileReportsAllFindings(t *testing.T) {
+	is := is.New(t)
+	set := conf.New("entry",
+		conf.Lookup(func(string) (string, bool) { return "", false }),
+		conf.ReadFile(func(string) ([]byte, error) { return []byte("vm = E 1\nspeed = 3\nno value\nvm = e2\n"), nil }),
+	)
+	set.Name("vm", "", conf.Required())
+	err := set.Parse([]string{"--config", "x.conf"})
+	is.True(err != nil)
+	for _, want := range []string{"x.conf:2", `"speed" does not exist`, "x.conf:3", "x.conf:4", "twice"} {
+		is.True(strings.Contains(err.Error(), want)) // every fault with its line
+	}
+}
--- a/conf/options.go
+++ b/conf/options.go
@@ -6,6 +6,8 @@
 type Options struct {
 	// Lookup reads an environment variable.
 	Lookup func(name string) (string, bool)
+	// ReadFile reads the settings file.
+	ReadFile func(path string) ([]byte, error)
 }
 
 // Option changes one of the Options.
@@ -15,7 +17,7 @@
 func Lookup(f func(string) (string, bool)) Option { return func(o *Options) { o.Lookup = f } }
 
 func newOptions(opts ...Option) Options {
-	o := Options{Lookup: os.LookupEnv}
+	o := Options{Lookup: os.LookupEnv, ReadFile: os.ReadFile}
 	for _, opt := range opts {
 		opt(&o)
 	}
--- a/conf/parse.go
+++ b/conf/parse.go
@@ -84,7 +84,8 @@
 	return addr, nil
 }
 
-func parseAddrs(text string) ([]netip.AddrPort, error) {
+// ParseAddrs reads a comma-separated list of IP:PORT.
+func ParseAddrs(text string) ([]netip.AddrPort, error) {
 	var addrs []netip.AddrPort
 	for part := range strings.SplitSeq(text, ",") {
 		addr, err := parseAddr(strings.TrimSpace(part))
--- a/ctrl/ctrl.go
+++ b/ctrl/ctrl.go
@@ -19,6 +19,7 @@
 	"encoding/binary"
 	mathrand "math/rand/v2"
 	"net"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -65,6 +66,10 @@
 	// refusal says why the group does not know this replica.
 	refusal atomic.Pointer[string]
 	status  atomic.Pointer[quorum.Status]
+	// others is the group as other control VMs told it, while this replica is
+	// not a member.
+	others atomic.Pointer[quorum.Group]
+	asks   asks
 
 	// The fields below belong to the loop.
 	vms      map[quorum.ID]string
@@ -81,6 +86,14 @@
 	feed        state.Feed
 	// waiting holds replicas that are not members, by VM.
 	waiting map[string]waitingReplica
+	// heard is when a message of a replica came last.
+	heard map[quorum.ID]time.Time
+	// seeds are the addresses of control VMs in the newest settings.
+	seeds []netip.AddrPort
+	// lastLeader is when a leader was known last.
+	lastLeader time.Time
+	// lastRepair is when the group was looked at last.
+	lastRepair time.Time
 	// firstIndex is the index of the first ticket ever, 0 before it.
 	firstIndex uint64
 	heldIndex  uint64
@@ -112,7 +125,10 @@
 		watchers: make(map[string]*watcher),
 		founding: make(map[string]*wire.Found),
 		waiting:  make(map[string]waitingReplica),
+		heard:    make(map[quorum.ID]time.Time),
 	}
+	c.seeds = c.options.Seeds
+	c.others.Store(&quorum.Group{})
 	c.started = c.options.Clock.Now()
 	if err := c.open(); err != nil {
 		return nil, err
@@ -167,10 +183,16 @@
 	c.noteFirst(book)
 	c.applied, c.image = restored.Snapshot.Index, restored.Snapshot.Index
 	c.hard = restored.Hard
-	c.core, err = quorum.New(c.identity.ID, restored, quorum.Random(newRandom(c.identity.ID)))
+	c.core, err = c.newCore(restored)
 	return err
 }
 
+// newCore returns a log core with what is on the disk.
+func (c *Control) newCore(restored quorum.Restored) (*quorum.Core, error) {
+	return quorum.New(c.identity.ID, restored,
+		quorum.Random(newRandom(c.identity.ID)), quorum.Disks(c.options.Losses+1))
+}
+
 // newID returns a fresh identity.
 func newID() quorum.ID {
 	var raw [8]byte
@@ -211,6 +233,7 @@
 		case f := <-c.work:
 			f()
 		case m := <-c.inbox:
+			c.heard[m.From] = c.options.Clock.Now()
 			c.core.Step(m)
 		}
 		if err := c.carryOut(); err != nil {
@@ -252,6 +275,7 @@
 func (c *Control) tick(now time.Time) {
 	c.core.Tick()
 	c.found(now)
+	c.tickRepair(now)
 	c.tickWatchers(now)
 	c.tickForce(now)
 	c.tickVoters(now)
--- a/ctrl/found.go
+++ b/ctrl/found.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/dottereldeal/dottereldeal/event"
@@ -10,25 +13,98 @@
 	"github.com/dottereldeal/dottereldeal/wire"
 )
 
-// found makes the first group. A replica with a blank folder founds a group
-// only after every VM of its settings has said that it has none either. A
-// replica that lost its disk therefore never votes with a blank log: the others
-// have a group, and it waits to be added to it under its new identity.
-func (c *Control) found(time.Time) {
-	if c.identity.Member {
+// found makes the first group, or looks for one to join. A replica with a blank
+// folder founds a group only after every founding VM has said that it has none
+// either. A replica that lost its disk therefore never votes with a blank log:
+// the others have a group, and it waits to be added under its new identity.
+func (c *Control) found(now time.Time) {
+	if c.identity.Member && !c.strayed(now) {
 		return
 	}
-	c.founding[c.options.VM] = c.foundMessage(false)
-	for vm := range c.options.Replicas {
-		if _, heard := c.founding[vm]; !heard {
-			c.sendFound(vm, true)
+	if !c.identity.Member {
+		c.founding[c.options.VM] = c.foundMessage(false)
+	}
+	for _, to := range c.foundingPeers() {
+		if _, heard := c.founding[to]; !heard || len(c.options.Seeds) > 0 {
+			c.sendFound(to, true)
 		}
 	}
-	if len(c.founding) == len(c.options.Replicas) {
+	if !c.identity.Member && c.allHeard() {
 		c.makeGroup()
 	}
 }
 
+// strayLimit is the time without a leader after which a member asks whether it
+// is still one.
+const strayLimit = 2 * time.Second
+
+// strayed reports whether this member of a self-repairing group has had no leader
+// for a while: it may have been replaced while it was away.
+func (c *Control) strayed(now time.Time) bool {
+	if c.status.Load().Leader != 0 {
+		c.lastLeader = now
+	}
+	return len(c.options.Seeds) > 0 && now.Sub(c.lastLeader) > strayLimit
+}
+
+// foundingPeers returns whom to ask for a group: names, or addresses of VMs whose
+// names are not known yet.
+func (c *Control) foundingPeers() []string {
+	if len(c.options.Seeds) == 0 {
+		return c.options.Replicas.Names()
+	}
+	var peers []string
+	known := make(map[string]bool)
+	for _, g := range []quorum.Group{*c.others.Load(), c.core.Status().Group} {
+		for _, r := range g.Replicas() {
+			if !known[r.Addr] {
+				known[r.Addr] = true
+				peers = append(peers, r.VM)
+			}
+		}
+	}
+	for _, seed := range c.seeds {
+		if !known[seed.String()] && seed != c.options.Addr {
+			peers = append(peers, seed.String())
+		}
+	}
+	return peers
+}
+
+// SetSeeds replaces the addresses of control VMs that are asked for a group. The
+// founders of the first start stay as they were.
+func (c *Control) SetSeeds(seeds []netip.AddrPort) {
+	c.enqueue(func() { c.seeds = seeds })
+}
+
+// allHeard reports whether this replica may found a group and has heard from
+// every other founder that it has none.
+func (c *Control) allHeard() bool {
+	if len(c.options.Seeds) == 0 {
+		return len(c.founding) == len(c.options.Replicas)
+	}
+	if !c.options.Founding || !slices.Contains(c.options.Seeds, c.options.Addr) {
+		return false
+	}
+	for _, seed := range c.options.Seeds {
+		heard := func(m *wire.Found) bool { return m.GetAddr() == seed.String() }
+		if !slices.ContainsFunc(slices.Collect(maps.Values(c.founding)), heard) {
+			return false
+		}
+	}
+	return true
+}
+
+// founder reports whether a replica may be one of the first group.
+func (c *Control) founder(vm string, m *wire.Found) bool {
+	if len(c.options.Seeds) == 0 {
+		_, named := c.options.Replicas[vm]
+		return named
+	}
+	addr, err := netip.ParseAddrPort(m.GetAddr())
+	return err == nil && c.options.Founding && slices.Contains(c.options.Seeds, addr)
+}
+
 func (c *Control) sendFound(vm string, ask bool) {
 	if vm == c.options.VM {
 		return
@@ -38,8 +114,7 @@
 
 func (c *Control) foundMessage(ask bool) *wire.Found {
 	return &wire.Found{
-		Id: uint64(c.identity.ID), Vm: c.options.VM, Ask: ask,
-		Addr:     c.options.Replicas[c.options.VM].String(),
+		Id: uint64(c.identity.ID), Vm: c.options.VM, Ask: ask, Addr: c.options.Addr.String(),
 		Replicas: quorum.GroupToWire(c.core.Status().Group),
 	}
 }
@@ -49,24 +124,45 @@
 	if m.GetVm() != from {
 		return
 	}
+	if addr, err := netip.ParseAddrPort(m.GetAddr()); err == nil && len(c.options.Seeds) > 0 {
+		c.link.SetPeer(from, addr)
+	}
 	if m.GetAsk() {
 		c.noteWaiting(from, m)
 		c.sendFound(from, false)
 	}
-	_, expected := c.options.Replicas[from]
-	if c.identity.Member || !expected {
-		return
-	}
 	group := quorum.GroupFromWire(m.GetReplicas())
-	if group.Len() == 0 {
-		c.founding[from] = m
+	_, mine := group.Get(c.identity.ID)
+	if group.Len() > 0 && !mine {
+		c.noteOthers(group)
+	}
+	founder := c.founder(from, m)
+	if c.identity.Member || !founder && len(c.options.Seeds) == 0 {
 		return
 	}
-	if _, mine := group.Get(c.identity.ID); mine {
+	switch {
+	case group.Len() == 0 && founder:
+		c.founding[from] = m
+	case group.Len() > 0 && mine && c.mayAdopt(group):
 		c.foundGroup(group)
-		return
+	case group.Len() > 0 && !mine:
+		c.refuse(group)
+	}
+}
+
+// mayAdopt reports whether this replica may start from a group that names it. In
+// a self-repairing fleet only founders do; others receive the group by the log.
+func (c *Control) mayAdopt(g quorum.Group) bool {
+	if len(c.options.Seeds) == 0 {
+		return true
 	}
-	c.refuse(group)
+	return c.options.Founding && g.Voter(c.identity.ID) && slices.Contains(c.options.Seeds, c.options.Addr)
+}
+
+// noteOthers remembers a group that this replica does not belong to.
+func (c *Control) noteOthers(g quorum.Group) {
+	c.others.Store(&g)
+	c.setPeers(g)
 }
 
 // refuse notes why this replica cannot take part: there is a group without it.
@@ -120,13 +216,12 @@
 	if err := store.SaveIdentity(c.folder, next); err != nil {
 		return
 	}
-	core, err := quorum.New(next.ID, quorum.Restored{
-		Hard: c.hard, Snapshot: quorum.Snapshot{Group: g},
-	}, quorum.Random(newRandom(next.ID)))
+	core, err := c.newCore(quorum.Restored{Hard: c.hard, Snapshot: quorum.Snapshot{Group: g}})
 	if err != nil {
 		return
 	}
 	c.identity, c.core = next, core
+	c.setPeers(g)
 	c.options.Line.Record(event.ReplicaAdded, g.String(), "founded")
 }
 
--- a/ctrl/http.go
+++ b/ctrl/http.go
@@ -13,6 +13,7 @@
 	"github.com/dottereldeal/dottereldeal/admin"
 	"github.com/dottereldeal/dottereldeal/check"
 	"github.com/dottereldeal/dottereldeal/ledger"
+	"github.com/dottereldeal/dottereldeal/quorum"
 	"github.com/dottereldeal/dottereldeal/ticket"
 )
 
@@ -81,6 +82,10 @@
 		admin.Reply(w, http.StatusUnprocessableEntity, answer)
 		return
 	}
+	if wantsInForce(r) && !c.leads() {
+		c.fail(w, ErrNotLeader) // only the leader knows what is in force
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), acceptTimeout)
 	defer cancel()
 	outcome, err := c.Propose(ctx, proposal)
@@ -132,9 +137,17 @@
 	return name
 }
 
+// wantsInForce reports whether a request waits until its ticket is in force.
+func wantsInForce(r *http.Request) bool {
+	return Stage(r.URL.Query().Get("wait")) == StageInForce
+}
+
+// leads reports whether this replica leads, as far as it knows.
+func (c *Control) leads() bool { return c.status.Load().Role == quorum.Leader }
+
 // awaitStage waits for in-force if the request asks for it.
 func (c *Control) awaitStage(r *http.Request, index uint64) Stage {
-	if Stage(r.URL.Query().Get("wait")) != StageInForce {
+	if !wantsInForce(r) {
 		return StageAccepted
 	}
 	limit, err := time.ParseDuration(r.URL.Query().Get("timeout"))
@@ -187,6 +200,10 @@
 		http.Error(w, "ticket number is not a whole number", http.StatusBadRequest)
 		return
 	}
+	if !c.leads() {
+		c.fail(w, ErrNotLeader) // only the leader knows what is in force
+		return
+	}
 	book, ok := c.current(w, r)
 	if !ok {
 		return
--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -22,6 +22,14 @@
 		c.enqueue(func() { c.handleWatch(from, body.Watch) })
 	case *wire.Envelope_Found:
 		c.enqueue(func() { c.handleFound(from, body.Found) })
+	case *wire.Envelope_ProposalAsk:
+		c.serveProposal(from, body.ProposalAsk)
+	case *wire.Envelope_ReadAsk:
+		c.serveRead(from, body.ReadAsk)
+	case *wire.Envelope_ProposalAnswer:
+		c.asks.deliver(body.ProposalAnswer.GetSeq(), e)
+	case *wire.Envelope_ReadAnswer:
+		c.asks.deliver(body.ReadAnswer.GetSeq(), e)
 	}
 }
 
@@ -58,7 +66,10 @@
 	if _, ok := c.options.Replicas[vm]; ok {
 		return true
 	}
-	_, ok := c.status.Load().Group.ByVM(vm)
+	if _, ok := c.status.Load().Group.ByVM(vm); ok {
+		return true
+	}
+	_, ok := c.others.Load().ByVM(vm)
 	return ok
 }
 
--- a/ctrl/options.go
+++ b/ctrl/options.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/dottereldeal/dottereldeal/cert"
@@ -28,8 +29,20 @@
 	VM string
 	// DataCentre is where this VM runs.
 	DataCentre string
-	// Replicas are the control VMs of the first start, this one included.
+	// Replicas are the control VMs of the first start, this one included. Empty
+	// where Seeds are given.
 	Replicas conf.Peers
+	// Seeds are addresses of the links of some control VMs. The group then grows
+	// and repairs itself.
+	Seeds []netip.AddrPort
+	// Founding says that this is the first start of the whole fleet: the VMs
+	// of the seeds found the group.
+	Founding bool
+	// Addr is the address of this VM's links as other VMs reach it; empty for the
+	// one in Replicas.
+	Addr netip.AddrPort
+	// Losses is the number of control VMs that may be lost at the same time.
+	Losses   int
 	Clock    clock.Service
 	Line     *event.Line
 	Meter    *meter.Meter
@@ -50,6 +63,18 @@
 // Replicas sets the control VMs of the first start.
 func Replicas(p conf.Peers) Option { return func(o *Options) { o.Replicas = p } }
 
+// Seeds sets the addresses of some control VMs' links.
+func Seeds(addrs []netip.AddrPort) Option { return func(o *Options) { o.Seeds = addrs } }
+
+// Founding says whether this is the first start of the whole fleet.
+func Founding(on bool) Option { return func(o *Options) { o.Founding = on } }
+
+// Addr sets the address of this VM's links as other VMs reach it.
+func Addr(addr netip.AddrPort) Option { return func(o *Options) { o.Addr = addr } }
+
+// Losses sets how many control VMs may be lost at the same time.
+func Losses(n int) Option { return func(o *Options) { o.Losses = n } }
+
 // Clock sets the timer service.
 func Clock(s clock.Service) Option { return func(o *Options) { o.Clock = s } }
 
@@ -70,6 +95,9 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
+	if own, ok := o.Replicas[o.VM]; ok && !o.Addr.IsValid() {
+		o.Addr = own
+	}
 	if o.Clock == nil {
 		o.Clock = clock.New()
 	}
--- a/ctrl/propose.go
+++ b/ctrl/propose.go
@@ -10,17 +10,29 @@
 	"github.com/dottereldeal/dottereldeal/quorum"
 )
 
-// Propose puts a ticket into the log and waits until it is applied. ErrUnknown
-// means that the ticket may or may not be accepted.
+// Propose puts a ticket into the log, on this replica or through the leader, and
+// waits until it is applied. ErrUnknown means that the ticket may or may not be
+// accepted.
 func (c *Control) Propose(ctx context.Context, p ledger.Proposal) (ledger.Outcome, error) {
 	data, err := ledger.EncodeProposal(p)
 	if err != nil {
 		return ledger.Outcome{}, err
 	}
+	leader, err := c.awaitLeader(ctx)
+	if err != nil {
+		return ledger.Outcome{}, err
+	}
+	if leader != c.options.VM {
+		return c.forwardProposal(ctx, leader, data)
+	}
+	return c.proposeHere(ctx, data)
+}
+
+// proposeHere puts a record into the log as its leader.
+func (c *Control) proposeHere(ctx context.Context, data []byte) (ledger.Outcome, error) {
 	answer := make(chan ledger.Outcome, 1)
 	var failed error
-	err = c.do(ctx, func() { failed = c.propose(data, answer) })
-	if err != nil {
+	if err := c.do(ctx, func() { failed = c.propose(data, answer) }); err != nil {
 		return ledger.Outcome{}, err
 	}
 	if failed != nil {
@@ -48,9 +60,28 @@
 	return nil
 }
 
-// Current returns the state once this replica has proved that it leads, so that
-// it includes every ticket accepted before the call.
+// Current returns the state with every ticket accepted before the call. Another
+// replica than the leader asks it for a confirmed index, and waits until it has
+// applied that much.
 func (c *Control) Current(ctx context.Context) (ledger.Ledger, error) {
+	leader, err := c.awaitLeader(ctx)
+	if err != nil {
+		return ledger.Ledger{}, err
+	}
+	if leader == c.options.VM {
+		_, err := c.confirm(ctx)
+		return c.Ledger(), err
+	}
+	index, err := c.forwardRead(ctx, leader)
+	if err != nil {
+		return ledger.Ledger{}, err
+	}
+	return c.Ledger(), c.awaitApplied(ctx, index)
+}
+
+// confirm returns an index that includes every ticket accepted before the call,
+// once a majority has confirmed that this replica leads. It is applied here.
+func (c *Control) confirm(ctx context.Context) (uint64, error) {
 	answer := make(chan quorum.Read, 1)
 	var failed error
 	var token uint64
@@ -63,19 +94,19 @@
 		}
 	})
 	if err != nil {
-		return ledger.Ledger{}, err
+		return 0, err
 	}
 	if failed != nil {
-		return ledger.Ledger{}, failed
+		return 0, failed
 	}
 	select {
-	case <-answer:
-		return c.Ledger(), nil
+	case read := <-answer:
+		return read.Index, nil
 	case <-ctx.Done():
 		c.enqueue(func() { delete(c.reads, token) })
-		return ledger.Ledger{}, ErrNotLeader
+		return 0, ErrNotLeader
 	case <-c.done:
-		return ledger.Ledger{}, ErrStopped
+		return 0, ErrStopped
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,6 +12,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,6 +49,8 @@
 	Callers  net.Listener
 	Announce net.Listener
 	Admin    net.Listener
+	// Ready answers every request by whether this VM serves. It may be nil.
+	Ready net.Listener
 }
 
 // Entry is one entry process.
@@ -99,14 +102,14 @@
 	)
 	e.vouch = newVoucher(e)
 	e.sync = newFollower(e)
-	e.proxy = proxy.New(
+	e.proxy = proxy.New(append([]proxy.Option{
 		proxy.Views(e.view.Load), proxy.Serving(e.Ready), proxy.Clock(e.options.Clock),
 		proxy.Limiter(e.limits),
 		proxy.Picker(e.picker()), proxy.Claim(e.claims.Claim),
 		proxy.Entries(func() int { return len(e.fleet.Members()) }),
 		proxy.KeyHeader(e.options.KeyHeader), proxy.KeyQuery(e.options.KeyQuery), proxy.KeyCookie(e.options.KeyCookie),
 		proxy.Meter(e.options.Meter), proxy.Grace(e.options.Grace),
-	)
+	}, e.options.Proxy...)...)
 	return e
 }
 
@@ -147,18 +150,33 @@
 	if e.stopping.Load() {
 		return ErrStopping
 	}
+	if e.options.WhenCutOff == CutOffServe {
+		return e.started()
+	}
 	return e.fresh()
 }
 
+// started returns ErrNoState until the first configuration has been received.
+func (e *Entry) started() error {
+	if e.State().Index() == 0 {
+		return ErrNoState
+	}
+	return nil
+}
+
 // fresh returns why the configuration on this VM may be out of date, or nil.
 func (e *Entry) fresh() error {
-	s := e.State()
-	if s.Index() == 0 {
-		return ErrNoState
+	if err := e.started(); err != nil {
+		return err
 	}
+	s := e.State()
 	return e.vouch.serving(s, e.options.Clock.Now())
 }
 
+// SetSeeds replaces the addresses of the control VMs' links that are asked while no
+// control VM is known.
+func (e *Entry) SetSeeds(seeds []netip.AddrPort) { e.sync.setSeeds(seeds) }
+
 // shards returns the names of the leases of all workspace shards and pools.
 func (e *Entry) shards() []string {
 	names := make([]string, limit.Shards)
@@ -193,7 +211,14 @@
 		})
 	}
 	serve(e.callersServer(), e.secured(e.listeners.Callers))
-	serve(e.announceServer(), e.listeners.Announce)
+	if e.listeners.Announce != nil {
+		serve(e.announceServer(), e.listeners.Announce)
+	}
+	if e.listeners.Ready != nil {
+		ready := e.readyServer()
+		group.Go(func() { ready.Serve(e.listeners.Ready) })
+		defer ready.Close()
+	}
 	e.admin = admin.New(e.adminOptions()...)
 	group.Go(func() { e.admin.Serve(e.listeners.Admin) })
 	stopWatch := e.options.Clock.Subscribe(watchPeriod, func(now time.Time) {
@@ -214,6 +239,9 @@
 	case err = <-failed:
 	}
 	e.stop()
+	if e.listeners.Ready != nil {
+		e.listeners.Ready.Close()
+	}
 	group.Wait()
 	return err
 }
@@ -236,6 +264,18 @@
 	}
 }
 
+// readyServer answers every request by whether this VM serves.
+func (e *Entry) readyServer() *http.Server {
+	return &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if err := e.Ready(); err != nil {
+				http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			}
+		}),
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: callersIdle, ErrorLog: discardLog(),
+	}
+}
+
 // drained tells callers to use another connection once a stop has begun.
 func (e *Entry) drained(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dottereldeal/dottereldeal/event"
+	"github.com/dottereldeal/dottereldeal/fleet"
 	"github.com/dottereldeal/dottereldeal/proxy"
 	"github.com/dottereldeal/dottereldeal/state"
 	"github.com/dottereldeal/dottereldeal/wire"
@@ -21,10 +22,12 @@
 // follower keeps the configuration up to date, from the control VMs or from
 // any neighbour that is ahead.
 type follower struct {
-	entry    *Entry
-	controls []string
+	entry *Entry
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// controls names the control VMs, and current is the one in use.
+	controls   []string
+	seeds      []netip.AddrPort
 	current    int
 	heard      time.Time
 	assemblers map[string]*state.Assembler
@@ -37,21 +40,41 @@
 func newFollower(e *Entry) *follower {
 	return &follower{
 		entry: e, controls: e.options.Control.Names(), heard: e.options.Clock.Now(),
-		assemblers: make(map[string]*state.Assembler),
+		seeds: e.options.Seeds, assemblers: make(map[string]*state.Assembler),
 	}
 }
 
-// tick asks a control VM, and a neighbour that is ahead, for what is new.
-func (f *follower) tick(now time.Time) {
+// setSeeds replaces the addresses that are asked while no control VM is known.
+func (f *follower) setSeeds(seeds []netip.AddrPort) {
 	f.mu.Lock()
-	if now.Sub(f.heard) > controlSilence && len(f.controls) > 0 {
+	defer f.mu.Unlock()
+	f.seeds = seeds
+}
+
+// sources returns whom to ask: the control VM in use, or all control VMs and
+// seeds while there is no configuration yet or none of them answers.
+func (f *follower) sources(now time.Time) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	silent := now.Sub(f.heard) > controlSilence
+	if silent && len(f.controls) > 0 {
 		f.current = (f.current + 1) % len(f.controls)
-		f.heard = now
 	}
-	f.mu.Unlock()
+	if f.entry.State().Index() > 0 && !silent {
+		return f.controls[f.current : f.current+1]
+	}
+	sources := slices.Clone(f.controls)
+	for _, seed := range f.seeds {
+		sources = append(sources, seed.String())
+	}
+	return sources
+}
+
+// tick asks a control VM, and a neighbour that is ahead, for what is new.
+func (f *follower) tick(now time.Time) {
 	index := f.entry.State().Index()
-	if len(f.controls) > 0 {
-		f.ask(f.control(), index)
+	for _, vm := range f.sources(now) {
+		f.ask(vm, index)
 	}
 	if vm, ok := f.entry.fleet.Ahead(index); ok && !f.receiving(now) {
 		f.ask(vm, index)
@@ -65,12 +88,6 @@
 	return now.Sub(f.sourceAt) < sourceSilence
 }
 
-func (f *follower) control() string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.controls[f.current]
-}
-
 // ask requests everything after an index, and acknowledges everything up to it.
 func (f *follower) ask(vm string, index uint64) {
 	e := f.entry
@@ -78,7 +95,7 @@
 	watch := &wire.Watch{
 		To: to, Part: part, Brief: brief,
 		Index: index, Addr: e.options.LinkAddr(e.listeners), DataCentre: e.options.DataCentre,
-		Serving: e.Ready() == nil, Leaving: e.stopping.Load(), Members: uint32(len(e.fleet.Members())),
+		Serving: !e.stopping.Load() && e.fresh() == nil, Leaving: e.stopping.Load(), Members: uint32(len(e.fleet.Members())),
 	}
 	e.link.Send(vm, &wire.Envelope{Body: &wire.Envelope_Watch{Watch: watch}})
 }
@@ -131,13 +148,18 @@
 func (f *follower) noteControl(from string, d *wire.Delta) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !slices.Contains(f.controls, from) {
+	f.noteControls(d.GetControls())
+	at := slices.Index(f.controls, from)
+	if at < 0 {
 		return
 	}
-	if from == f.controls[f.current] {
-		f.heard = f.entry.options.Clock.Now()
+	now := f.entry.options.Clock.Now()
+	if now.Sub(f.heard) > controlSilence {
+		f.current = at
+	}
+	if at == f.current {
+		f.heard = now
 	}
-	f.noteControls(d.GetControls())
 	if leader := slices.Index(f.controls, d.GetLeader()); leader >= 0 && leader != f.current {
 		f.current = leader
 		f.heard = f.entry.options.Clock.Now()
@@ -149,21 +171,32 @@
 	}
 }
 
-// noteControls learns of control VMs that replaced those of the settings.
+// noteControls learns the group of control VMs, which may have replaced those of
+// the settings.
 func (f *follower) noteControls(controls []*wire.Peer) {
+	var names []string
 	for _, p := range controls {
 		addr, err := netip.ParseAddrPort(p.GetAddr())
-		if err != nil || slices.Contains(f.controls, p.GetVm()) {
+		if err != nil {
 			continue
 		}
 		f.entry.link.SetPeer(p.GetVm(), addr)
-		f.controls = append(f.controls, p.GetVm())
+		names = append(names, p.GetVm())
+	}
+	if len(names) == 0 || slices.Equal(names, f.controls) {
+		return
 	}
+	used := ""
+	if len(f.controls) > 0 {
+		used = f.controls[f.current]
+	}
+	f.controls, f.current = names, max(0, slices.Index(names, used))
 }
 
 // adopt puts a new configuration in force on this VM.
 func (f *follower) adopt(next state.State) {
 	view := proxy.NewView(next)
+	f.entry.fleet.SetRegistered(registered(next))
 	f.entry.view.Store(view)
 	f.entry.proxy.Apply(view)
 	f.entry.fleet.SetIndex(next.Index())
@@ -184,3 +217,22 @@
 		f.entry.link.Send(from, &wire.Envelope{Body: &wire.Envelope_Delta{Delta: part}})
 	}
 }
+
+// registered returns the backend servers that have registered with control.
+func registered(s state.State) []fleet.Target {
+	var list []fleet.Target
+	for _, t := range state.List[state.Target](s) {
+		if t.Phase == state.TargetGone {
+			continue
+		}
+		connections := t.Connections
+		if settings, ok := state.Get[state.Pool](s, t.Pool); ok && connections == 0 {
+			connections = settings.Connections
+		}
+		list = append(list, fleet.Target{
+			Name: t.Name, Pool: t.Pool, DataCentre: t.DataCentre, Addr: t.Addr, Slots: t.Slots,
+			Connections: connections, Phase: fleet.Phase(t.Phase), Boot: t.Boot, Count: t.Count,
+		})
+	}
+	return list
+}
--- a/entry/options.go
+++ b/entry/options.go
@@ -4,6 +4,7 @@
 	"io"
 	"log"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/dottereldeal/dottereldeal/cert"
@@ -11,6 +12,7 @@
 	"github.com/dottereldeal/dottereldeal/conf"
 	"github.com/dottereldeal/dottereldeal/event"
 	"github.com/dottereldeal/dottereldeal/meter"
+	"github.com/dottereldeal/dottereldeal/proxy"
 )
 
 const (
@@ -33,10 +35,15 @@
 	// the listener's own.
 	Advertise string
 	Control   conf.Peers
-	Peers     conf.Peers
-	Clock     clock.Service
-	Line      *event.Line
-	Meter     *meter.Meter
+	// Seeds are addresses of the links of some control VMs, for the time before
+	// the first answer of one.
+	Seeds []netip.AddrPort
+	Peers conf.Peers
+	// WhenCutOff says what to do while the configuration may be out of date.
+	WhenCutOff CutOff
+	Clock      clock.Service
+	Line       *event.Line
+	Meter      *meter.Meter
 	// Identity switches TLS on for the links.
 	Identity *cert.Identity
 	// CallersIdentity switches TLS on for callers.
@@ -44,6 +51,8 @@
 	KeyHeader       string
 	KeyQuery        string
 	KeyCookie       string
+	// Proxy holds further options of the proxy.
+	Proxy []proxy.Option
 	// Grace is how long a running request outlives its key.
 	Grace time.Duration
 	// DrainDelay is the time between the end of readiness and of listening.
@@ -56,6 +65,18 @@
 	Drop func(to string) bool
 }
 
+// CutOff says what an entry does while it hears neither control nor enough
+// other entries.
+type CutOff string
+
+// What an entry may do while it is cut off.
+const (
+	// CutOffStop refuses requests until the configuration is known to be the newest.
+	CutOffStop CutOff = "stop"
+	// CutOffServe goes on with the newest configuration that was received.
+	CutOffServe CutOff = "serve"
+)
+
 // Option changes one setting.
 type Option func(*Options)
 
@@ -71,6 +92,17 @@
 // Control sets the control VMs.
 func Control(p conf.Peers) Option { return func(o *Options) { o.Control = p } }
 
+// Seeds sets the addresses of some control VMs' links.
+func Seeds(addrs []netip.AddrPort) Option { return func(o *Options) { o.Seeds = addrs } }
+
+// WhenCutOff sets what to do while the configuration may be out of date.
+func WhenCutOff(c CutOff) Option { return func(o *Options) { o.WhenCutOff = c } }
+
+// Proxy adds options of the proxy.
+func Proxy(opts ...proxy.Option) Option {
+	return func(o *Options) { o.Proxy = append(o.Proxy, opts...) }
+}
+
 // Peers sets some other entries.
 func Peers(p conf.Peers) Option { return func(o *Options) { o.Peers = p } }
 
@@ -119,6 +151,7 @@
 func newOptions(opts ...Option) Options {
 	o := Options{
 		KeyHeader:  "Authorization",
+		WhenCutOff: CutOffStop,
 		Grace:      defaultGrace,
 		DrainDelay: defaultDrainDelay,
 		DrainLimit: defaultDrainLimit,
--- a/fleet/announce.go
+++ b/fleet/announce.go
@@ -54,6 +54,62 @@
 	return next
 }
 
+// SetRegistered replaces the backend servers that registered with control. One
+// that announced itself to the entries too counts as registered.
+func (f *Fleet) SetRegistered(list []Target) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if slices.Equal(list, f.registered) {
+		return
+	}
+	before := f.directory.Load()
+	next := before
+	for _, t := range f.registered {
+		next = next.without(t.Name)
+	}
+	next = next.withAll(list)
+	f.registered = list
+	f.directory.Store(next)
+	f.recordRegistered(before, next)
+}
+
+// recordRegistered notes on the time line what changed between two directories.
+func (f *Fleet) recordRegistered(before, after *Directory) {
+	for _, pool := range after.pools {
+		for _, t := range pool {
+			f.recordPhase(before, t)
+		}
+	}
+	for name, pool := range before.pools {
+		for _, t := range pool {
+			same := func(o Target) bool { return o.Name == t.Name }
+			if !slices.ContainsFunc(after.pools[name], same) {
+				f.options.Line.Record(event.TargetExpired, t.Name, "pool "+name)
+			}
+		}
+	}
+}
+
+// withAll returns the directory with some targets added.
+func (d *Directory) withAll(list []Target) *Directory {
+	next := &Directory{pools: maps.Clone(d.pools)}
+	if next.pools == nil {
+		next.pools = make(map[string][]Target)
+	}
+	touched := make(map[string]bool)
+	for _, t := range list {
+		if !touched[t.Pool] {
+			touched[t.Pool] = true
+			next.pools[t.Pool] = slices.Clone(next.pools[t.Pool])
+		}
+		next.pools[t.Pool] = append(next.pools[t.Pool], t)
+	}
+	for pool := range touched {
+		slices.SortFunc(next.pools[pool], func(a, b Target) int { return strings.Compare(a.Name, b.Name) })
+	}
+	return next
+}
+
 // Announce takes an announcement that a backend server made to this entry. It
 // reports false if a newer one is known.
 func (f *Fleet) Announce(t Target) bool {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -45,6 +45,9 @@
 	queue    []Item
 	draining bool
 
+	// registered are the backend servers that control knows.
+	registered []Target
+
 	directory atomic.Pointer[Directory]
 	members   atomic.Pointer[[]Member]
 	stop      func()
--- a/ledger/image.go
+++ b/ledger/image.go
@@ -17,6 +17,7 @@
 	image := &wire.Image{
 		Index: l.state.Index(), RemovalsSince: l.state.RemovalsSince(),
 		Objects: objects, Forgotten: l.forgotten,
+		PlanVersion: l.plan.Version, PlanSource: l.plan.Source, PlanIndex: l.plan.Index,
 	}
 	for _, number := range l.numbers {
 		o, _ := l.outcomes.Get(number)
@@ -43,6 +44,7 @@
 	}
 	l.state = state.Load(image.GetIndex(), image.GetRemovalsSince(), records)
 	l.forgotten = image.GetForgotten()
+	l.plan = Plan{Version: image.GetPlanVersion(), Source: image.GetPlanSource(), Index: image.GetPlanIndex()}
 	edit := l.outcomes.Edit()
 	for _, m := range image.GetOutcomes() {
 		o := Outcome{Number: m.GetNumber(), Verdict: Accepted, Index: m.GetIndex(), Author: m.GetAuthor()}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -81,6 +81,7 @@
 	outcomes  state.Table[uint64, Outcome]
 	numbers   []uint64 // remembered numbers in order
 	forgotten uint64
+	plan      Plan
 }
 
 // New returns an empty ledger that remembers a number of tickets.
@@ -138,6 +139,13 @@
 
 // Apply applies the proposal at a log index.
 func (l Ledger) Apply(index uint64, p Proposal) (Ledger, Outcome) {
+	if p.Ticket.Plan != nil {
+		return l.applyPlan(index, p)
+	}
+	p.Ticket.Set = l.registrations(p.Ticket.Set)
+	if p.Ticket.Number == SystemNumber && len(p.Ticket.Set)+len(p.Ticket.Remove) == 0 {
+		return l, Outcome{Verdict: Stale}
+	}
 	outcome := l.Judge(index, p)
 	if outcome.Verdict != Accepted || outcome.Repeated {
 		return l, outcome
--- a/link/link.go
+++ b/link/link.go
@@ -2,6 +2,9 @@
 // are yamux sessions over TCP, with TLS if an identity is given; each stream
 // carries protobuf messages in one direction, in order.
 //
+// A message may also be sent to an address, as IP:PORT, before the name of the VM
+// there is known. The first message that comes back tells it.
+//
 // Delivery is best effort: a message may be lost when a connection breaks or a
 // queue is full, never altered, and protocols above repeat what matters. A
 // connection is opened on first use and closed after some idle time. A peer
--- a/link/mesh.go
+++ b/link/mesh.go
@@ -85,11 +85,25 @@
 	}
 }
 
-// addr returns the address of a VM.
+// addr returns the address of a VM. A peer whose name is not known yet goes by
+// its address.
 func (m *mesh) addr(vm string) netip.AddrPort {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.addrs[vm]
+	if addr, ok := m.addrs[vm]; ok {
+		return addr
+	}
+	addr, _ := netip.ParseAddrPort(vm) // invalid for a name
+	return addr
+}
+
+// nameOf returns the name that the other side of a dialled connection must have,
+// or nothing if only its address is known.
+func nameOf(vm string) string {
+	if _, err := netip.ParseAddrPort(vm); err == nil {
+		return ""
+	}
+	return vm
 }
 
 // forget ends the sender of a peer that has nothing to send and no connection.
--- a/link/peer.go
+++ b/link/peer.go
@@ -221,7 +221,7 @@
 	p.mu.Lock()
 	p.session, p.dialled, p.stream = session, true, nil
 	p.mu.Unlock()
-	p.mesh.group.Go(func() { p.mesh.serveSession(session, state, p.vm) })
+	p.mesh.group.Go(func() { p.mesh.serveSession(session, state, nameOf(p.vm)) })
 	return session, nil
 }
 
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -138,7 +138,7 @@
 // connection, so that it cannot be taken for whole.
 func (x *exchange) answer(ctx context.Context, g *answer, limit *deadline) {
 	header := x.writer.Header()
-	for name, values := range answerHeader(g.response.Header) {
+	for name, values := range x.handler.options.Headers.answerHeader(g.response.Header) {
 		header[name] = values
 	}
 	if g.whole && x.request.Method != http.MethodHead && len(g.response.Trailer) == 0 && bodyAllowed(g.response.StatusCode) {
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -38,12 +38,10 @@
 	switch {
 	case errors.Is(f.cause, ErrKeyWithdrawn):
 		return problemWithdrawn.withOutcome(f.outcome)
-	case errors.Is(f.cause, pick.ErrNone):
-		return problemNoTarget.withOutcome(f.outcome)
+	case f.outcome == NotRun:
+		return problemNoTarget
 	case errors.Is(f.cause, ErrDeadline), errors.Is(f.cause, ErrStalled):
 		return problemDeadline.withOutcome(f.outcome)
-	case f.kind == health.Shed:
-		return problemNoTarget.withOutcome(f.outcome)
 	default:
 		return problemFailed.withOutcome(f.outcome)
 	}
@@ -59,7 +57,7 @@
 		Method:        x.request.Method,
 		URL:           x.targetURL(a.choice.Target.Addr),
 		Host:          x.request.Host,
-		Header:        x.outgoingHeader(limit.left()),
+		Header:        x.outgoingHeader(limit.left(), a.choice.Target.Name),
 		Body:          x.body.open(x.route.Idempotent),
 		ContentLength: x.body.length,
 	}).WithContext(httptrace.WithClientTrace(ctx, trace))
@@ -71,15 +69,68 @@
 	if err != nil {
 		return nil, a.fail(ctx, err, time.Since(started))
 	}
-	a.cold = response.Header.Get(PhaseHeader) == string(fleet.Cold)
-	if response.Header.Get(ShedHeader) != "" && response.StatusCode == http.StatusServiceUnavailable {
+	names := x.handler.options.Headers
+	a.cold = response.Header.Get(names.Phase) == string(fleet.Cold)
+	if kind, refused := names.refusal(response); refused {
 		response.Body.Close()
-		a.report(health.Shed, time.Since(started))
-		return nil, &failure{kind: health.Shed, outcome: NotRun, cause: errors.New("backend server shed the request")}
+		a.report(kind, time.Since(started))
+		return nil, &failure{kind: kind, outcome: NotRun, cause: errors.Errorf("backend server refused the request with %d", response.StatusCode)}
+	}
+	if err := names.foreign(response, x.request.Header.Get(names.RequestID)); err != nil {
+		a.abandon()
+		response.Body.Close()
+		return nil, a.tear(ctx, err, started)
 	}
 	return a.receive(ctx, response, started)
 }
 
+// refusal reports whether an answer says that the request did not run. A server
+// that is not the one that the request was meant for cannot be reached at its
+// address any more.
+func (n Headers) refusal(r *http.Response) (health.Kind, bool) {
+	switch {
+	case n.Target != "" && r.StatusCode == http.StatusMisdirectedRequest:
+		return health.Unreachable, true
+	case r.StatusCode >= http.StatusBadRequest && r.Header.Get(n.Shed) != "":
+		return health.Shed, true
+	default:
+		return "", false
+	}
+}
+
+// Errors of answers that are not the answer to the request.
+var (
+	errForeignAnswer = errors.New("the answer is to another request")
+	errNoProof       = errors.New("the success does not carry the backend server's proof")
+	errEncoded       = errors.New("the answer has an encoding that nobody asked for")
+)
+
+// foreign returns why an answer is not the backend server's answer to a request.
+func (n Headers) foreign(r *http.Response, id string) error {
+	if n.RequestID != "" {
+		if echoed := r.Header.Get(n.RequestID); echoed != "" && echoed != id {
+			return errForeignAnswer
+		}
+	}
+	if n.Proof == "" {
+		return nil
+	}
+	if r.Header.Get("Content-Encoding") != "" {
+		return errEncoded
+	}
+	if r.StatusCode < http.StatusMultipleChoices && r.Header.Get(n.Proof) == "" {
+		return errNoProof
+	}
+	return nil
+}
+
+// abandon closes the attempt's connection, so that nothing else is read from it.
+func (a *attempt) abandon() {
+	if a.conn != nil {
+		a.conn.abandon()
+	}
+}
+
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
 	conn, ok := info.Conn.(*countedConn)
 	if !ok {
--- a/proxy/deadline.go
+++ b/proxy/deadline.go
@@ -7,9 +7,11 @@
 )
 
 // deadline ends a request that takes too long. While a large body is coming in
-// or going out, only a lack of progress ends it.
+// or going out, only a lack of progress ends it, unless the caller has said how
+// long it waits.
 type deadline struct {
 	limit  time.Duration
+	fixed  bool
 	cancel context.CancelCauseFunc
 
 	mu      sync.Mutex
@@ -19,8 +21,8 @@
 	stopped bool
 }
 
-func newDeadline(limit time.Duration, cancel context.CancelCauseFunc) *deadline {
-	d := &deadline{limit: limit, cancel: cancel, at: time.Now().Add(limit), cause: ErrDeadline}
+func newDeadline(limit time.Duration, fixed bool, cancel context.CancelCauseFunc) *deadline {
+	d := &deadline{limit: limit, fixed: fixed, cancel: cancel, at: time.Now().Add(limit), cause: ErrDeadline}
 	d.timer = time.AfterFunc(limit, d.expire)
 	return d
 }
@@ -48,7 +50,7 @@
 func (d *deadline) arm(limit time.Duration, cause error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.stopped {
+	if d.stopped || d.fixed {
 		return
 	}
 	d.cause = cause
--- a/proxy/key.go
+++ b/proxy/key.go
@@ -6,17 +6,16 @@
 	"strings"
 )
 
-const bearerPrefix = "bearer "
-
 // keyReader finds callers' keys and removes them from requests.
 type keyReader struct {
 	header string
+	scheme string
 	query  string
 	cookie string
 }
 
 func newKeyReader(o Options) keyReader {
-	return keyReader{header: http.CanonicalHeaderKey(o.KeyHeader), query: o.KeyQuery, cookie: o.KeyCookie}
+	return keyReader{header: http.CanonicalHeaderKey(o.KeyHeader), scheme: o.KeyScheme + " ", query: o.KeyQuery, cookie: o.KeyCookie}
 }
 
 // take returns the request's key and removes it from header, query and
@@ -44,8 +43,8 @@
 		if k.header != defaultKeyHeader {
 			return text
 		}
-		if len(text) > len(bearerPrefix) && strings.EqualFold(text[:len(bearerPrefix)], bearerPrefix) {
-			return strings.TrimSpace(text[len(bearerPrefix):])
+		if n := len(k.scheme); len(text) > n && strings.EqualFold(text[:n], k.scheme) {
+			return strings.TrimSpace(text[n:])
 		}
 	}
 	if k.query != "" {
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -15,6 +15,7 @@
 const (
 	defaultGrace     = 2 * time.Second
 	defaultKeyHeader = "Authorization"
+	defaultKeyScheme = "Bearer"
 	maxAttempts      = 3
 	// bufferBytes is the size up to which bodies are held, so that a request
 	// can be sent again and an answer is whole before its first byte goes out.
@@ -44,6 +45,11 @@
 	KeyHeader string
 	KeyQuery  string
 	KeyCookie string
+	// KeyScheme is the authentication scheme in front of the key.
+	KeyScheme string
+	Headers   Headers
+	// RetryFractions writes Retry-After with fractions of a second.
+	RetryFractions bool
 	// Grace is how long a request may go on after its key was withdrawn.
 	Grace time.Duration
 }
@@ -86,6 +92,15 @@
 // KeyCookie sets the cookie that may hold the key.
 func KeyCookie(name string) Option { return func(o *Options) { o.KeyCookie = name } }
 
+// KeyScheme sets the authentication scheme in front of the key.
+func KeyScheme(name string) Option { return func(o *Options) { o.KeyScheme = name } }
+
+// HeaderNames sets the headers between callers, entries and backend servers.
+func HeaderNames(h Headers) Option { return func(o *Options) { o.Headers = h } }
+
+// RetryFractions says whether callers understand fractions in Retry-After.
+func RetryFractions(on bool) Option { return func(o *Options) { o.RetryFractions = on } }
+
 // Grace sets how long a request may go on after its key was withdrawn.
 func Grace(d time.Duration) Option { return func(o *Options) { o.Grace = d } }
 
@@ -96,6 +111,8 @@
 		Claim:     func(context.Context, claim.Key) error { return nil },
 		Entries:   func() int { return 1 },
 		KeyHeader: defaultKeyHeader,
+		KeyScheme: defaultKeyScheme,
+		Headers:   DefaultHeaders(),
 		Grace:     defaultGrace,
 	}
 	for _, opt := range opts {
--- a/proxy/problem.go
+++ b/proxy/problem.go
@@ -90,6 +90,15 @@
 // problemTypePrefix starts the type of every problem.
 const problemTypePrefix = "urn:dottereldeal:problem:"
 
+// retryAfter returns a time as the text of Retry-After: whole seconds, as the
+// standard wants them, or milliseconds as a fraction if callers understand it.
+func (o Options) retryAfter(d time.Duration) string {
+	if o.RetryFractions {
+		return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+	}
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
+
 // refuse answers with a problem.
 func (x *exchange) refuse(p problem) {
 	x.handler.metrics.refused.WithLabelValues(p.kind).Inc()
@@ -104,10 +113,10 @@
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	header.Set(OutcomeHeader, string(p.outcome))
 	if p.retryAfter > 0 {
-		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(p.retryAfter.Seconds()))))
+		header.Set("Retry-After", x.handler.options.retryAfter(p.retryAfter))
 	}
 	if p.status == http.StatusUnauthorized {
-		header.Set("WWW-Authenticate", "Bearer")
+		header.Set("WWW-Authenticate", x.handler.options.KeyScheme)
 	}
 	x.writer.WriteHeader(p.status)
 	x.writer.Write(body)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -16,7 +16,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -83,8 +85,10 @@
 	key       string
 	workspace *state.Workspace
 	route     *state.Route
-	arrived   time.Time
-	body      *requestBody
+	// pool is the pool that the route leads this request to.
+	pool    string
+	arrived time.Time
+	body    *requestBody
 }
 
 // ServeHTTP implements http.Handler.
@@ -161,7 +165,11 @@
 }
 
 func (x *exchange) checkRate() (problem, bool) {
-	ctx, cancel := context.WithTimeout(x.request.Context(), time.Duration(x.route.Deadline))
+	if x.workspace.Unlimited {
+		return problem{}, false
+	}
+	left, _ := x.timeLeft()
+	ctx, cancel := context.WithTimeout(x.request.Context(), left)
 	defer cancel()
 	admission := x.handler.options.Limiter.Admit(ctx, x.workspace)
 	if admission.OK {
@@ -173,6 +181,19 @@
 	return problemRate.withRetryAfter(admission.RetryAfter), true
 }
 
+// timeLeft returns the time until the request is given up, and whether the caller
+// has stated how long it waits.
+func (x *exchange) timeLeft() (left time.Duration, stated bool) {
+	limit := time.Duration(x.route.Deadline)
+	if name := x.handler.options.Headers.CallerDeadline; name != "" {
+		ms, err := strconv.ParseInt(x.request.Header.Get(name), 10, 64)
+		if err == nil && ms > 0 {
+			limit, stated = min(limit, time.Duration(ms)*time.Millisecond), true
+		}
+	}
+	return limit - x.handler.options.Clock.Now().Sub(x.arrived), stated
+}
+
 // forward sends the request to backend servers and the answer to the caller.
 func (x *exchange) forward() {
 	ctx, cancel := context.WithCancelCause(x.request.Context())
@@ -181,7 +202,8 @@
 		leave := x.handler.guard.enter(state.DigestOf(x.key), x.workspace.Name, cancel)
 		defer leave()
 	}
-	limit := newDeadline(time.Duration(x.route.Deadline), cancel)
+	left, stated := x.timeLeft()
+	limit := newDeadline(left, stated, cancel)
 	defer limit.stop()
 	body, err := newRequestBody(x.request, limit)
 	if err != nil {
@@ -189,6 +211,7 @@
 		return
 	}
 	x.body = body
+	x.pool = route.Draw(x.route, rand.Float64())
 	if !body.held() {
 		// Without this, net/http/1.1 swallows the rest of the upload as soon as
 		// the answer begins.
--- a/proxy/try.go
+++ b/proxy/try.go
@@ -47,7 +47,7 @@
 // a late answer is hedged by a second attempt. Further attempts draw on a budget.
 func (x *exchange) try(ctx context.Context, limit *deadline) (*answer, *failure) {
 	x.handler.budget.Deposit()
-	t := &trial{exchange: x, limit: limit, results: make(chan tried, maxAttempts), ran: NotRun}
+	t := &trial{exchange: x, limit: limit, results: make(chan tried, x.attempts()), ran: NotRun}
 	if err := t.start(ctx); err != nil {
 		return nil, &failure{outcome: NotRun, cause: err}
 	}
@@ -63,9 +63,17 @@
 	return nil, t.last
 }
 
+// attempts returns how many backend servers the request may be sent to.
+func (x *exchange) attempts() int {
+	if x.route.Attempts > 0 {
+		return min(x.route.Attempts, maxAttempts)
+	}
+	return maxAttempts
+}
+
 // start begins one attempt at a backend server that was not used yet.
 func (t *trial) start(ctx context.Context) error {
-	choice, err := t.exchange.handler.options.Picker.Pick(ctx, t.exchange.route.Pool, pick.Request{Avoid: t.used})
+	choice, err := t.exchange.handler.options.Picker.Pick(ctx, t.exchange.pool, pick.Request{Avoid: t.used})
 	if err != nil {
 		return err
 	}
@@ -112,7 +120,7 @@
 	if !x.route.Idempotent {
 		return noHedge
 	}
-	if d := x.handler.options.Picker.HedgeAfter(x.route.Pool); d > 0 {
+	if d := x.handler.options.Picker.HedgeAfter(x.pool); d > 0 {
 		return d
 	}
 	return noHedge
@@ -171,7 +179,7 @@
 }
 
 func (t *trial) mayContinue(ctx context.Context) bool {
-	return len(t.cancels) < maxAttempts && ctx.Err() == nil && t.exchange.body.again()
+	return len(t.cancels) < t.exchange.attempts() && ctx.Err() == nil && t.exchange.body.again()
 }
 
 // startFurther starts an attempt that draws on the budget.
--- a/quorum/append.go
+++ b/quorum/append.go
@@ -186,7 +186,8 @@
 	c.sendAppend(m.From, p)
 }
 
-// advanceCommit commits what a majority has synced, if it is of this term.
+// advanceCommit commits what a majority, and as many disks as the settings ask
+// for, have synced, if it is of this term.
 func (c *Core) advanceCommit() {
 	var matches []uint64
 	for _, r := range c.group.replicas {
@@ -202,7 +203,8 @@
 		return
 	}
 	slices.Sort(matches)
-	index := matches[len(matches)-c.group.Quorum()]
+	needed := max(c.group.Quorum(), min(c.options.Disks, len(matches)))
+	index := matches[len(matches)-needed]
 	term, ok := c.log.term(index)
 	if index <= c.commit || !ok || term != c.term {
 		return
--- /dev/null
+++ b/route/share.go
@@ -0,0 +1,27 @@
+package route
+
+import "github.com/dottereldeal/dottereldeal/state"
+
+// Draw returns the pool of one request: the route's only one, or one of its
+// shares by weight. The point is uniformly distributed in [0, 1).
+func Draw(r *state.Route, point float64) string {
+	total := 0.0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return r.Pools()[0]
+	}
+	last := ""
+	point *= total
+	for _, s := range r.Shares {
+		if s.Weight <= 0 {
+			continue
+		}
+		if last = s.Pool; point < s.Weight {
+			break
+		}
+		point -= s.Weight
+	}
+	return last
+}
--- a/state/change.go
+++ b/state/change.go
@@ -182,11 +182,14 @@
 func (o overlay) checkObject(object Object) []Problem {
 	switch object := object.(type) {
 	case Route:
-		if o.has(Ref{KindPool, object.Pool}) {
-			return nil
+		var problems []Problem
+		for _, pool := range object.Pools() {
+			if !o.has(Ref{KindPool, pool}) {
+				text := fmt.Sprintf("route %q leads to pool %q, which does not exist", object.Name, pool)
+				problems = append(problems, Problem{Dangling, object.Ref(), text})
+			}
 		}
-		text := fmt.Sprintf("route %q leads to pool %q, which does not exist", object.Name, object.Pool)
-		return []Problem{{Dangling, object.Ref(), text}}
+		return problems
 	case Workspace:
 		return o.checkKeys(object)
 	default:
@@ -237,11 +240,13 @@
 	}
 	for _, route := range List[Route](o.state) {
 		_, changed := o.changed[route.Ref()]
-		if changed || !gone[route.Pool] {
-			continue
+		for _, pool := range route.Pools() {
+			if changed || !gone[pool] {
+				continue
+			}
+			text := fmt.Sprintf("pool %q is still used by route %q", pool, route.Name)
+			problems = append(problems, Problem{Dangling, Ref{KindPool, pool}, text})
 		}
-		text := fmt.Sprintf("pool %q is still used by route %q", route.Pool, route.Name)
-		problems = append(problems, Problem{Dangling, Ref{KindPool, route.Pool}, text})
 	}
 	return problems
 }
--- a/state/object.go
+++ b/state/object.go
@@ -31,6 +31,7 @@
 	KindDataCentre Kind = "data-centre"
 	KindVoters     Kind = "lease-voters"
 	KindElectors   Kind = "lease-electors"
+	KindTarget     Kind = "target"
 )
 
 // VotersName is the name of the only objects of KindVoters and KindElectors.
@@ -104,6 +105,11 @@
 	// Burst is the number of requests above the rate that may come at once.
 	Burst      float64  `json:"burst"`
 	KeyDigests []Digest `json:"key-digests,omitempty"`
+	// Unlimited says that rate and burst do not apply.
+	Unlimited bool `json:"unlimited,omitempty"`
+	// Rank is the urgency of the workspace's requests, 0 first. It goes before
+	// the rank of a route. Nil leaves the route's.
+	Rank *int `json:"rank,omitempty"`
 }
 
 // Ref names the workspace.
@@ -124,28 +130,116 @@
 	ColdSlots int `json:"cold-slots,omitempty"`
 	// Ramp is the time over which a cold backend server gets all its slots.
 	Ramp Duration `json:"ramp,omitempty"`
+	// ColdRate is the number of requests a second that a cold backend server
+	// bears, over the whole fleet. 0 leaves only the slots as a limit.
+	ColdRate float64 `json:"cold-rate,omitempty"`
+	// Connections is the number of connections that each backend server accepts
+	// where it does not announce a number. 0 sets no limit.
+	Connections int `json:"connections,omitempty"`
 }
 
 // Ref names the pool.
 func (p Pool) Ref() Ref { return Ref{KindPool, p.Name} }
 
-// Route leads matching requests to a pool.
+// Share is a part of a route's requests.
+type Share struct {
+	Pool string `json:"pool"`
+	// Weight is the pool's part, relative to the weights of the other pools.
+	Weight float64 `json:"weight"`
+}
+
+// Route leads matching requests to a pool, or to several by weight.
 type Route struct {
 	Name       string   `json:"name"`
 	Host       string   `json:"host,omitempty"`
 	PathPrefix string   `json:"path-prefix"`
 	Methods    []string `json:"methods,omitempty"`
-	Pool       string   `json:"pool"`
+	Pool       string   `json:"pool,omitempty"`
+	// Shares is given instead of Pool where several pools share the requests.
+	Shares []Share `json:"shares,omitempty"`
 	// Idempotent says that a request may run more than once without harm.
 	Idempotent bool     `json:"idempotent,omitempty"`
 	Deadline   Duration `json:"deadline"`
 	// Open says that no key is needed.
 	Open bool `json:"open,omitempty"`
+	// Objective is the time within which an answer has its full worth; 0 if none.
+	Objective Duration `json:"objective,omitempty"`
+	// Rank is the urgency, 0 first.
+	Rank int `json:"rank,omitempty"`
+	// Attempts is the number of backend servers that one request may be sent to;
+	// 0 leaves it to the retry policy.
+	Attempts int `json:"attempts,omitempty"`
 }
 
 // Ref names the route.
 func (r Route) Ref() Ref { return Ref{KindRoute, r.Name} }
 
+// Pools returns the names of all pools that the route leads to.
+func (r Route) Pools() []string {
+	if len(r.Shares) == 0 {
+		return []string{r.Pool}
+	}
+	names := make([]string, len(r.Shares))
+	for i, s := range r.Shares {
+		names[i] = s.Pool
+	}
+	return names
+}
+
+// TargetPhase is what a registered backend server says of itself.
+type TargetPhase string
+
+// The phases of a registered backend server.
+const (
+	TargetCold    TargetPhase = "cold"
+	TargetWarm    TargetPhase = "warm"
+	TargetLeaving TargetPhase = "leaving"
+	// TargetGone keeps the memory of a server that has left, so that its late
+	// announcements are recognised.
+	TargetGone TargetPhase = "gone"
+)
+
+// Target is a backend server that has registered with control.
+type Target struct {
+	Name       string `json:"name"`
+	Pool       string `json:"pool"`
+	DataCentre string `json:"data-centre"`
+	// Addr is IP:PORT.
+	Addr string `json:"addr"`
+	// Slots is the number of requests that it runs at once.
+	Slots int `json:"slots"`
+	// Connections is the number of connections that it accepts, 0 if unknown.
+	Connections int         `json:"connections,omitempty"`
+	Phase       TargetPhase `json:"phase"`
+	// Boot and Count order the announcements: Boot rises with every start of the
+	// server and Count with every announcement.
+	Boot  uint64 `json:"boot"`
+	Count uint64 `json:"count"`
+}
+
+// Ref names the target.
+func (t Target) Ref() Ref { return Ref{KindTarget, t.Name} }
+
+// WithPhase returns the target in another phase.
+func (t Target) WithPhase(p TargetPhase) Target {
+	t.Phase = p
+	return t
+}
+
+// Newer reports whether the target was announced after another one of its name.
+func (t Target) Newer(other Target) bool {
+	if t.Boot != other.Boot {
+		return t.Boot > other.Boot
+	}
+	return t.Count > other.Count
+}
+
+// Same reports whether two announcements say the same, save for their count.
+func (t Target) Same(other Target) bool {
+	t.Count = other.Count
+	return t == other
+}
+
 // CentreState says whether a data centre takes new work.
 type CentreState string
 
@@ -201,6 +295,8 @@
 		return decode[Voters](data)
 	case KindElectors:
 		return decode[Electors](data)
+	case KindTarget:
+		return decode[Target](data)
 	default:
 		return nil, errors.Wrap(ErrKind, string(kind))
 	}
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -50,10 +50,26 @@
 	Set []state.Object
 	// Remove names the removed objects, ordered by kind and name.
 	Remove []state.Ref
+	// Plan says that the ticket is a plan.
+	Plan *Plan
 
 	places map[state.Ref]Place
 }
 
+// Plan makes a ticket replace all workspaces, pools and routes. Plans are
+// numbered in a series of their own; the highest version is in force.
+type Plan struct {
+	Version uint64 `json:"version"`
+	// Source is the plan as its author wrote it, for reads. It has no other use.
+	Source []byte `json:"source"`
+}
+
+// NewPlan returns the ticket of a plan with all its objects.
+func NewPlan(version uint64, source []byte, objects ...state.Object) Ticket {
+	t := Ticket{Set: slices.Clone(objects), Plan: &Plan{Version: version, Source: source}}
+	return t.sorted()
+}
+
 // Change returns the change that the ticket makes at a log index.
 func (t Ticket) Change(index uint64) state.Change {
 	return state.Change{Index: index, Number: t.Number, Set: t.Set, Remove: t.Remove}
@@ -85,6 +101,7 @@
 	Number uint64            `json:"number"`
 	Set    []canonicalObject `json:"set,omitempty"`
 	Remove []canonicalRef    `json:"remove,omitempty"`
+	Plan   *Plan             `json:"plan,omitempty"`
 }
 
 type canonicalObject struct {
@@ -99,7 +116,7 @@
 
 // Canonical returns the canonical form.
 func (t Ticket) Canonical() ([]byte, error) {
-	form := canonical{Number: t.Number}
+	form := canonical{Number: t.Number, Plan: t.Plan}
 	for _, o := range t.Set {
 		body, err := state.Encode(o)
 		if err != nil {
@@ -121,7 +138,7 @@
 	if err := decoder.Decode(&form); err != nil {
 		return Ticket{}, errors.Wrap(ErrNotCanonical, err.Error())
 	}
-	t := Ticket{Number: form.Number}
+	t := Ticket{Number: form.Number, Plan: form.Plan}
 	for _, o := range form.Set {
 		object, err := state.Decode(o.Kind, o.Body)
 		if err != nil {
