Log why a request is refused, with what decided it

The log shows one workspace at 13 requests a second after a change lowered its rate, asking for about 19: the refusals follow the bucket, not a fault of the leases.

--- a/prog/serve.go
+++ b/prog/serve.go
@@ -21,6 +21,7 @@
 	"github.com/dottereldeal/dottereldeal/entry"
 	"github.com/dottereldeal/dottereldeal/event"
 	"github.com/dottereldeal/dottereldeal/platform"
+	"github.com/dottereldeal/dottereldeal/proxy"
 	"github.com/dottereldeal/dottereldeal/store"
 )
 
@@ -301,7 +302,7 @@
 		opts := []entry.Option{
 			entry.VM(*common.vm), entry.DataCentre(*common.centre), entry.Advertise(*advertise),
 			entry.Control(*control), entry.Seeds(found.links(*common.listen)), entry.Peers(*peers),
-			entry.Clock(p.clock), entry.Line(p.line),
+			entry.Clock(p.clock), entry.Line(p.line), entry.Proxy(proxy.Logger(p.logger)),
 			entry.Identity(identity), entry.CallersIdentity(callersIdentity),
 			entry.KeyPlaces(*keyHeader, *keyQuery, *keyCookie),
 			entry.Drain(*drainDelay, *drainLimit), entry.Grace(*grace), entry.WhenCutOff(*cutOff),
@@ -388,6 +389,6 @@
 	events, _ := l.line.Since(l.seq)
 	for _, e := range events {
 		l.seq = e.Seq
-		l.logger.Info(string(e.Kind), "vm", e.VM, "object", e.Object, "detail", e.Detail, "stamp", e.At.String())
+		l.logger.Info(string(e.Kind), "object", e.Object, "detail", e.Detail, "stamp", e.At.String())
 	}
 }
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -61,6 +61,7 @@
 func (a *attempt) tear(ctx context.Context, err error, started time.Time) *failure {
 	f := &failure{kind: health.Torn, outcome: Unknown, cause: err}
 	f.blame(ctx)
+	a.detail = f.cause.Error()
 	a.report(f.kind, time.Since(started))
 	return f
 }
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -22,6 +22,8 @@
 	start    uint64
 	// sent says that an earlier connection of this attempt took some bytes.
 	sent bool
+	// detail says why the attempt failed.
+	detail string
 	// cold says that the answer called the backend server cold.
 	cold bool
 }
@@ -150,6 +152,7 @@
 		f.kind, f.outcome = health.Torn, Unknown
 	}
 	f.blame(ctx)
+	a.detail = f.cause.Error()
 	a.report(f.kind, latency)
 	return f
 }
@@ -172,6 +175,7 @@
 
 func (a *attempt) report(kind health.Kind, latency time.Duration) {
 	a.exchange.handler.metrics.attempts.WithLabelValues(string(kind)).Inc()
+	a.logAttempt(kind, latency, a.detail)
 	a.choice.Done(health.Result{Kind: kind, Latency: latency, Cold: a.cold})
 }
 
--- /dev/null
+++ b/proxy/log.go
@@ -0,0 +1,43 @@
+package proxy
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/dottereldeal/dottereldeal/health"
+)
+
+// logRefusal notes why a request is refused or ended, and by what it was decided.
+func (x *exchange) logRefusal(p problem) {
+	x.handler.options.Logger.LogAttrs(x.request.Context(), slog.LevelWarn, "request refused",
+		append(x.attrs(), slog.Int("status", p.status), slog.String("reason", p.kind), slog.String("detail", p.detail),
+			slog.String("outcome", string(p.outcome)), slog.Duration("retry-after", p.retryAfter))...)
+}
+
+// logAttempt notes the end of an attempt at a backend server.
+func (a *attempt) logAttempt(kind health.Kind, latency time.Duration, detail string) {
+	level := slog.LevelInfo
+	if kind == health.OK {
+		level = slog.LevelDebug
+	}
+	x := a.exchange
+	x.handler.options.Logger.LogAttrs(x.request.Context(), level, "attempt ended",
+		append(x.attrs(), slog.String("target", a.choice.Target.Name), slog.Uint64("boot", a.choice.Target.Boot),
+			slog.String("result", string(kind)), slog.Duration("latency", latency), slog.String("detail", detail))...)
+}
+
+// attrs names the request and the configuration that it is judged by.
+func (x *exchange) attrs() []slog.Attr {
+	attrs := make([]slog.Attr, 0, 12)
+	if name := x.handler.options.Headers.RequestID; name != "" {
+		attrs = append(attrs, slog.String("request", x.request.Header.Get(name)))
+	}
+	if x.route != nil {
+		attrs = append(attrs, slog.String("route", x.route.Name))
+	}
+	if x.workspace != nil {
+		attrs = append(attrs, slog.String("workspace", x.workspace.Name))
+	}
+	return append(attrs, slog.Uint64("state", x.view.State.Index()),
+		slog.Duration("age", x.handler.options.Clock.Now().Sub(x.arrived)))
+}
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"github.com/dottereldeal/dottereldeal/claim"
@@ -38,6 +39,8 @@
 	Claim func(context.Context, claim.Key) error
 	Clock clock.Service
 	Meter *meter.Meter
+	// Logger gets a line for each decision that ends or repeats a request.
+	Logger *slog.Logger
 	// Entries returns the number of entries that share the backend servers.
 	Entries func() int
 	// KeyHeader, KeyQuery and KeyCookie name where callers put their key. An
@@ -80,6 +83,9 @@
 // Meter sets the metrics.
 func Meter(m *meter.Meter) Option { return func(o *Options) { o.Meter = m } }
 
+// Logger sets where decisions about requests are logged.
+func Logger(l *slog.Logger) Option { return func(o *Options) { o.Logger = l } }
+
 // Entries sets the source of the number of entries.
 func Entries(f func() int) Option { return func(o *Options) { o.Entries = f } }
 
@@ -121,6 +127,9 @@
 	if o.Clock == nil {
 		o.Clock = clock.New()
 	}
+	if o.Logger == nil {
+		o.Logger = slog.New(slog.DiscardHandler)
+	}
 	if o.Meter == nil {
 		o.Meter = meter.New()
 	}
--- a/proxy/problem.go
+++ b/proxy/problem.go
@@ -102,6 +102,7 @@
 // refuse answers with a problem.
 func (x *exchange) refuse(p problem) {
 	x.handler.metrics.refused.WithLabelValues(p.kind).Inc()
+	x.logRefusal(p)
 	body, err := json.Marshal(problemBodyJSON{
 		Type: problemTypePrefix + p.kind, Title: p.title, Status: p.status, Detail: p.detail, Outcome: p.outcome,
 	})
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -178,7 +179,8 @@
 	if admission.Unavailable {
 		return problemLimits.withRetryAfter(admission.RetryAfter), true
 	}
-	return problemRate.withRetryAfter(admission.RetryAfter), true
+	detail := fmt.Sprintf("rate %g/s, burst %g", x.workspace.Rate, x.workspace.Burst)
+	return problemRate.withDetail(detail).withRetryAfter(admission.RetryAfter), true
 }
 
 // timeLeft returns the time until the request is given up, and whether the caller
