Let the holder of a pool place every request, by its belief in each server

At any time about a third of the servers fail three quarters of their requests for seconds, and each entry sees 4 requests a second: two random choices on its own counts meet a gray server every fifth time. Ruled out: the judge's thresholds; with 5 results a second for a server no test of shares is fast enough. It knows every slot and result, believes a server gray after its first failures (two-state Markov model), sends what must run once to the servers that proved sound last, lets repeatable requests try the others, queues by urgency and refuses at once what cannot be answered in time.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -93,7 +93,7 @@
 	)
 	e.limits = limit.NewShared(e.options.VM, e.options.Clock, e.link, e.leases, e.State)
 	e.pools = pool.New(e.link, e.fleet, e.leases,
-		pool.VM(e.options.VM), pool.State(e.State),
+		pool.VM(e.options.VM), pool.DataCentre(e.options.DataCentre), pool.Place(e.options.Placement), pool.State(e.State),
 		pool.Settings(func() []state.Pool { return e.view.Load().Pools }), pool.Clock(e.options.Clock), pool.Line(e.options.Line),
 	)
 	e.claims = claim.New(e.link,
--- a/entry/options.go
+++ b/entry/options.go
@@ -12,6 +12,7 @@
 	"github.com/dottereldeal/dottereldeal/conf"
 	"github.com/dottereldeal/dottereldeal/event"
 	"github.com/dottereldeal/dottereldeal/meter"
+	"github.com/dottereldeal/dottereldeal/pool"
 	"github.com/dottereldeal/dottereldeal/proxy"
 )
 
@@ -41,9 +42,11 @@
 	Peers conf.Peers
 	// WhenCutOff says what to do while the configuration may be out of date.
 	WhenCutOff CutOff
-	Clock      clock.Service
-	Line       *event.Line
-	Meter      *meter.Meter
+	// Placement says who chooses the backend servers of requests.
+	Placement pool.Placement
+	Clock     clock.Service
+	Line      *event.Line
+	Meter     *meter.Meter
 	// Identity switches TLS on for the links.
 	Identity *cert.Identity
 	// CallersIdentity switches TLS on for callers.
@@ -98,6 +101,9 @@
 // WhenCutOff sets what to do while the configuration may be out of date.
 func WhenCutOff(c CutOff) Option { return func(o *Options) { o.WhenCutOff = c } }
 
+// Placement sets who chooses the backend servers of requests.
+func Placement(by pool.Placement) Option { return func(o *Options) { o.Placement = by } }
+
 // Proxy adds options of the proxy.
 func Proxy(opts ...proxy.Option) Option {
 	return func(o *Options) { o.Proxy = append(o.Proxy, opts...) }
@@ -152,6 +158,7 @@
 	o := Options{
 		KeyHeader:  "Authorization",
 		WhenCutOff: CutOffStop,
+		Placement:  pool.PlaceLocal,
 		Grace:      defaultGrace,
 		DrainDelay: defaultDrainDelay,
 		DrainLimit: defaultDrainLimit,
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -24,6 +24,15 @@
 type Request struct {
 	// Avoid names backend servers that earlier attempts of the request used.
 	Avoid []string
+	// Idempotent says that the request may run more than once.
+	Idempotent bool
+	// Rank is the urgency, 0 first.
+	Rank      int
+	Workspace string
+	// Objective is the time until the answer loses worth, 0 if it never does.
+	Objective time.Duration
+	// Left is the time until the request is given up, 0 if the context says so.
+	Left time.Duration
 }
 
 // Choice is a backend server that a request may go to. Done must be called once.
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -17,9 +17,13 @@
 	return pick.Eligible(p.fleet.Directory().Pool(pool), p.options.State())
 }
 
-// Pick returns a warm backend server, or a cold one for which there is a permit.
-// If there are only cold ones, it waits for a permit.
+// Pick returns the backend server that the pool's holder chooses. Without one it
+// returns a warm server, or a cold one for which there is a permit; if there are
+// only cold ones, it waits for a permit.
 func (p *Pools) Pick(ctx context.Context, pool string, r pick.Request) (pick.Choice, error) {
+	if choice, err, ok := p.askDesk(ctx, pool, r); ok {
+		return choice, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, permitWait)
 	defer cancel()
 	for {
--- /dev/null
+++ b/pool/desk.go
@@ -0,0 +1,358 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dottereldeal/dottereldeal/fleet"
+	"github.com/dottereldeal/dottereldeal/health"
+)
+
+const (
+	// maxQueue bounds the requests that wait at one desk.
+	maxQueue = 512
+	// lostAfter is how long after its deadline a request counts as running if its
+	// entry has not said what became of it.
+	lostAfter = time.Second
+	// trustGray is the probability of being gray up to which a server gets requests
+	// that must run once, as long as there are others.
+	trustGray = 0.5
+	// probeGray is the probability up to which a server is tried with requests that
+	// may be repeated.
+	probeGray = 0.6
+	// loadWeight turns the part of a server's slots in use into probability: how
+	// much risk an empty server is worth.
+	loadWeight = 0.02
+	// awayWeight is the same for a server in another data centre.
+	awayWeight = 0.004
+	// firstService is the time that a request takes before any answer is known.
+	firstService = 200 * time.Millisecond
+	// serviceWeight is the weight of one answer in the usual service time.
+	serviceWeight = 0.05
+	// leastRetry is the least time that a refused request is told to wait.
+	leastRetry = 50 * time.Millisecond
+)
+
+// ask is one request that wants a backend server.
+type ask struct {
+	vm         string
+	id         uint64
+	centre     string
+	idempotent bool
+	rank       int
+	workspace  string
+	// objective is when the answer loses worth, and deadline when it is worth
+	// nothing any more.
+	objective time.Time
+	deadline  time.Time
+	avoid     []string
+}
+
+// seatKey names an ask.
+type seatKey struct {
+	vm string
+	id uint64
+}
+
+func (a ask) key() seatKey { return seatKey{a.vm, a.id} }
+
+// seat is a slot in use.
+type seat struct {
+	target  string
+	until   time.Time
+	ramping bool
+}
+
+// reply is what the desk says to an ask.
+type reply struct {
+	ask    ask
+	target string
+	queued bool
+	retry  time.Duration
+}
+
+// desk places all requests of a pool on its backend servers. It knows every slot
+// in use and every result, and has no input or output.
+//
+// The pattern it answers: entries that choose by themselves put two requests on
+// one server while others idle, learn of a gray server one by one, and queue at
+// the servers, where nobody can turn work away. The desk gives the next free slot
+// to the most urgent request, sends those that must run once to servers that have
+// just proved sound, lets those that may be repeated try the others, and refuses
+// at once what cannot be answered in time.
+type desk struct {
+	climate *health.Climate
+	beliefs map[string]health.Belief
+	boots   map[string]uint64
+	inUse   map[string]int
+	seats   map[seatKey]seat
+	queue   []ask
+	running map[string]int // seats by workspace
+	owners  map[seatKey]string
+	service time.Duration
+}
+
+func newDesk() *desk {
+	return &desk{
+		climate: health.NewClimate(), beliefs: make(map[string]health.Belief), boots: make(map[string]uint64),
+		inUse: make(map[string]int), seats: make(map[seatKey]seat),
+		running: make(map[string]int), owners: make(map[seatKey]string), service: firstService,
+	}
+}
+
+// floor is what the desk knows of the servers when it places requests.
+type floorPlan struct {
+	targets []fleet.Target
+	// shunned are servers that must not be used unless there are no others.
+	shunned []string
+	// ramp returns the ramp of a server that is cold, or nil.
+	ramp func(name string) *Ramp
+}
+
+// place gives an ask a server, queues it, or refuses it.
+func (d *desk) place(a ask, plan floorPlan, now time.Time) reply {
+	if target, ok := d.choose(a, plan, now); ok {
+		return d.seat(a, target, plan, now)
+	}
+	wait, possible := d.wait(a, plan, now)
+	if !possible {
+		return d.lastResort(a, wait, plan, now)
+	}
+	d.queue = append(d.queue, a)
+	return reply{ask: a, queued: true}
+}
+
+// lastResort sends an ask that cannot wait to any server with room, however doubtful,
+// or refuses it.
+func (d *desk) lastResort(a ask, retry time.Duration, plan floorPlan, now time.Time) reply {
+	best, found := fleet.Target{}, false
+	for _, t := range plan.targets {
+		if !d.room(t, plan, now) || slices.Contains(a.avoid, t.Name) {
+			continue
+		}
+		if !found || d.belief(t, now).At(d.climate, now) < d.belief(best, now).At(d.climate, now) {
+			best, found = t, true
+		}
+	}
+	if !found || !now.Before(a.deadline) {
+		return reply{ask: a, retry: retry}
+	}
+	return d.seat(a, best, plan, now)
+}
+
+// seat takes a slot for an ask.
+func (d *desk) seat(a ask, target fleet.Target, plan floorPlan, now time.Time) reply {
+	s := seat{target: target.Name, until: a.deadline.Add(lostAfter)}
+	if r := plan.ramp(target.Name); r != nil {
+		s.ramping = true
+		r.Grant(now)
+	}
+	d.inUse[target.Name]++
+	d.seats[a.key()] = s
+	d.running[a.workspace]++
+	d.owners[a.key()] = a.workspace
+	return reply{ask: a, target: target.Name}
+}
+
+// choose returns the server for an ask, if one has room.
+func (d *desk) choose(a ask, plan floorPlan, now time.Time) (fleet.Target, bool) {
+	best, found := fleet.Target{}, false
+	bestCost := 0.0
+	for _, t := range plan.targets {
+		if !d.room(t, plan, now) || slices.Contains(a.avoid, t.Name) {
+			continue
+		}
+		cost, usable := d.cost(a, t, plan, now)
+		if usable && (!found || cost < bestCost) {
+			best, bestCost, found = t, cost, true
+		}
+	}
+	return best, found
+}
+
+// room reports whether a server has a free slot.
+func (d *desk) room(t fleet.Target, plan floorPlan, now time.Time) bool {
+	if d.inUse[t.Name] >= t.Slots {
+		return false
+	}
+	r := plan.ramp(t.Name)
+	return r == nil || r.Free(now)
+}
+
+// cost returns how bad a choice is: the probability that the request fails, and
+// something for the load. A request that may be repeated looks for the server
+// whose last result is oldest instead, so that gray ones are found by requests
+// that lose nothing.
+func (d *desk) cost(a ask, t fleet.Target, plan floorPlan, now time.Time) (cost float64, usable bool) {
+	b := d.belief(t, now)
+	gray := b.At(d.climate, now)
+	if slices.Contains(plan.shunned, t.Name) {
+		gray = max(gray, 1-gray)
+	}
+	load := loadWeight * float64(d.inUse[t.Name]) / float64(max(1, t.Slots))
+	if t.DataCentre != a.centre {
+		load += awayWeight
+	}
+	if !a.idempotent {
+		return gray + load, gray <= trustGray
+	}
+	if gray > probeGray {
+		return 0, false
+	}
+	return load - b.Age(now).Seconds() - d.novelty(b), true
+}
+
+// novelty prefers a server that nothing is known of.
+func (d *desk) novelty(b health.Belief) float64 {
+	if b.Tried {
+		return 0
+	}
+	return 1
+}
+
+// belief returns the belief in a server. A server that has started again is not
+// the one that was known.
+func (d *desk) belief(t fleet.Target, now time.Time) health.Belief {
+	b, ok := d.beliefs[t.Name]
+	if !ok || d.boots[t.Name] != t.Boot {
+		b = health.NewBelief(d.climate, now)
+		d.beliefs[t.Name], d.boots[t.Name] = b, t.Boot
+	}
+	return b
+}
+
+// wait returns how long an ask that finds no room would wait, and whether it could
+// still be answered in time.
+func (d *desk) wait(a ask, plan floorPlan, now time.Time) (time.Duration, bool) {
+	slots := 0
+	for _, t := range plan.targets {
+		if d.belief(t, now).At(d.climate, now) <= trustGray {
+			slots += t.Slots
+		}
+	}
+	if slots == 0 {
+		slots = 1
+	}
+	ahead := 1
+	for _, other := range d.queue {
+		if other.rank <= a.rank {
+			ahead++
+		}
+	}
+	wait := time.Duration(float64(d.service) * float64(ahead) / float64(slots))
+	end := now.Add(wait + d.service)
+	possible := len(plan.targets) > 0 && len(d.queue) < maxQueue && end.Before(a.deadline)
+	return max(wait, leastRetry), possible
+}
+
+// done takes a slot back, or an ask out of the queue. An empty kind means that the
+// request was not sent.
+func (d *desk) done(key seatKey, r health.Result, plan floorPlan, now time.Time) {
+	s, seated := d.seats[key]
+	if !seated {
+		d.queue = slices.DeleteFunc(d.queue, func(a ask) bool { return a.key() == key })
+		return
+	}
+	d.release(key, s)
+	if ramp := plan.ramp(s.target); s.ramping && ramp != nil {
+		ramp.Done(r.Kind == health.OK, now)
+	}
+	d.learn(s.target, r, now)
+}
+
+func (d *desk) release(key seatKey, s seat) {
+	delete(d.seats, key)
+	if d.inUse[s.target]--; d.inUse[s.target] <= 0 {
+		delete(d.inUse, s.target)
+	}
+	workspace := d.owners[key]
+	delete(d.owners, key)
+	if d.running[workspace]--; d.running[workspace] <= 0 {
+		delete(d.running, workspace)
+	}
+}
+
+// learn takes a result into the belief in its server.
+func (d *desk) learn(target string, r health.Result, now time.Time) {
+	b, known := d.beliefs[target]
+	if !known || r.Kind == "" || r.Kind == health.Cancelled {
+		return
+	}
+	if r.Kind == health.OK {
+		d.service += time.Duration(serviceWeight * float64(r.Latency-d.service))
+	}
+	bad := r.Kind.Bad() || r.Kind == health.Late || r.Kind == health.Shed
+	d.beliefs[target] = b.WithResult(d.climate, bad, now)
+}
+
+// tick returns what the desk has to say by itself: servers for the asks that wait,
+// and refusals for those that can no longer be answered in time.
+func (d *desk) tick(plan floorPlan, now time.Time) []reply {
+	for key, s := range d.seats {
+		if now.After(s.until) {
+			d.release(key, s)
+		}
+	}
+	d.forget(plan.targets)
+	return d.serve(plan, now)
+}
+
+// forget drops what is known of servers that have left.
+func (d *desk) forget(targets []fleet.Target) {
+	for name := range d.beliefs {
+		if !slices.ContainsFunc(targets, func(t fleet.Target) bool { return t.Name == name }) {
+			delete(d.beliefs, name)
+			delete(d.boots, name)
+		}
+	}
+}
+
+// serve places the asks that wait, as far as there is room.
+func (d *desk) serve(plan floorPlan, now time.Time) []reply {
+	var replies []reply
+	d.queue = slices.DeleteFunc(d.queue, func(a ask) bool {
+		late := now.Add(d.service).After(a.deadline)
+		if late {
+			replies = append(replies, d.lastResort(a, leastRetry, plan, now))
+		}
+		return late
+	})
+	for {
+		at, target := d.next(plan, now)
+		if at < 0 {
+			return replies
+		}
+		a := d.queue[at]
+		d.queue = slices.Delete(d.queue, at, at+1)
+		replies = append(replies, d.seat(a, target, plan, now))
+	}
+}
+
+// next returns the ask that is served next, and its server: the most urgent one,
+// then one that can still meet its objective, then one of the workspace with the
+// fewest requests running, then the oldest.
+func (d *desk) next(plan floorPlan, now time.Time) (int, fleet.Target) {
+	best := -1
+	target := fleet.Target{}
+	for i, a := range d.queue {
+		if best >= 0 && !d.before(a, d.queue[best], now) {
+			continue
+		}
+		if t, ok := d.choose(a, plan, now); ok {
+			best, target = i, t
+		}
+	}
+	return best, target
+}
+
+// before reports whether an ask is served before another that came earlier.
+func (d *desk) before(a, b ask, now time.Time) bool {
+	if a.rank != b.rank {
+		return a.rank < b.rank
+	}
+	inTime := func(x ask) bool { return now.Add(d.service).Before(x.objective) }
+	if inTime(a) != inTime(b) {
+		return inTime(a)
+	}
+	return d.running[a.workspace] < d.running[b.workspace]
+}
--- /dev/null
+++ b/pool/desk_test.go
@@ -0,0 +1,183 @@
+package pool
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dottereldeal/dottereldeal/fleet"
+	"github.com/dottereldeal/dottereldeal/health"
+)
+
+// grayLoad is the load pattern of the tests: servers of which some fail three
+// quarters of their requests for some seconds at a time.
+type grayLoad struct {
+	servers    int
+	slots      int
+	perSecond  float64
+	idempotent float64 // part of the requests that may be repeated
+	service    time.Duration
+	grayPart   float64 // part of the servers that are gray at a time
+	graySpan   time.Duration
+	span       time.Duration
+}
+
+// outcome counts what became of the requests that must run once.
+type outcome struct {
+	once, failed, refused int
+	most                  map[string]int // most slots in use at once
+}
+
+// event is the end of a request.
+type ending struct {
+	at     time.Time
+	key    seatKey
+	target string
+	kind   health.Kind
+	took   time.Duration
+}
+
+// replay runs the load against a desk.
+func (l grayLoad) replay(seed uint64) outcome {
+	random := rand.New(rand.NewPCG(seed, 7))
+	plan := floorPlan{ramp: func(string) *Ramp { return nil }}
+	period := time.Duration(float64(l.graySpan) / l.grayPart)
+	phase := make(map[string]time.Duration)
+	for i := range l.servers {
+		name := fmt.Sprintf("s%d", i)
+		plan.targets = append(plan.targets, fleet.Target{Name: name, Slots: l.slots, Boot: 1})
+		phase[name] = time.Duration(random.Int64N(int64(period)))
+	}
+	gray := func(name string, now time.Time) bool {
+		return (now.Sub(begin)+phase[name])%period < l.graySpan
+	}
+	d := newDesk()
+	out := outcome{most: make(map[string]int)}
+	var running []ending
+	now := begin
+	start := func(r reply) {
+		if r.target == "" {
+			out.refused++
+			return
+		}
+		out.most[r.target] = max(out.most[r.target], d.inUse[r.target])
+		e := ending{key: r.ask.key(), target: r.target, kind: health.OK, took: l.service}
+		if gray(r.target, now) && random.Float64() < 0.75 {
+			e.kind, e.took = health.Failed, time.Millisecond
+		}
+		e.at = now.Add(e.took)
+		running = append(running, e)
+		if !r.ask.idempotent {
+			out.once++
+			if e.kind == health.Failed {
+				out.failed++
+			}
+		}
+	}
+	step := time.Millisecond
+	for id := uint64(0); now.Sub(begin) < l.span; now = now.Add(step) {
+		var left []ending
+		for _, e := range running {
+			if e.at.After(now) {
+				left = append(left, e)
+				continue
+			}
+			d.done(e.key, health.Result{Kind: e.kind, Latency: e.took}, plan, now)
+		}
+		running = left
+		for _, r := range d.serve(plan, now) {
+			start(r)
+		}
+		if random.Float64() < l.perSecond*step.Seconds() {
+			id++
+			r := d.place(ask{
+				vm: "e", id: id, idempotent: random.Float64() < l.idempotent,
+				objective: now.Add(600 * time.Millisecond), deadline: now.Add(1500 * time.Millisecond),
+			}, plan, now)
+			if !r.queued {
+				start(r)
+			}
+		}
+	}
+	return out
+}
+
+var usualDay = grayLoad{
+	servers: 27, slots: 4, perSecond: 165, idempotent: 0.36, service: 190 * time.Millisecond,
+	grayPart: 0.3, graySpan: 2700 * time.Millisecond, span: 30 * time.Second,
+}
+
+// With a third of the servers gray at a time, a choice by load alone fails more
+// than a fifth of the requests. The floor of the users is 0.7 of the servers, and
+// what must run once has one shot.
+func TestRequestsThatRunOnceRarelyMeetGrayServers(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(5) {
+		out := usualDay.replay(seed)
+		is.True(out.once > 2500)
+		is.Equal(out.refused, 0)
+		if share := float64(out.failed) / float64(out.once); share > 0.04 {
+			t.Errorf("seed %d: %d of %d failed", seed, out.failed, out.once)
+		}
+	}
+}
+
+func TestSlotsAreNeverExceeded(t *testing.T) {
+	load := usualDay
+	load.perSecond = 700 // more than all slots bear
+	for name, most := range load.replay(1).most {
+		if most > load.slots {
+			t.Errorf("%s had %d requests at once, slots %d", name, most, load.slots)
+		}
+	}
+}
+
+func TestUrgentRequestsAreServedFirst(t *testing.T) {
+	is := is.New(t)
+	d := newDesk()
+	plan := floorPlan{
+		targets: []fleet.Target{{Name: "s", Slots: 1, Boot: 1}}, ramp: func(string) *Ramp { return nil },
+	}
+	late := func(id uint64, rank int) ask {
+		return ask{vm: "e", id: id, rank: rank, workspace: fmt.Sprint("w", id), objective: begin.Add(time.Minute), deadline: begin.Add(time.Minute)}
+	}
+	is.Equal(d.place(late(1, 2), plan, begin).target, "s")
+	is.True(d.place(late(2, 2), plan, begin).queued)
+	is.True(d.place(late(3, 0), plan, begin).queued)
+	d.done(seatKey{"e", 1}, health.Result{Kind: health.OK, Latency: 100 * time.Millisecond}, plan, begin)
+	replies := d.serve(plan, begin)
+	is.Equal(len(replies), 1)
+	is.Equal(replies[0].ask.id, uint64(3))
+}
+
+// A request that cannot be answered in time is refused at once, not when its
+// deadline passes.
+func TestHopelessRequestsAreRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := newDesk()
+	plan := floorPlan{
+		targets: []fleet.Target{{Name: "s", Slots: 1, Boot: 1}}, ramp: func(string) *Ramp { return nil },
+	}
+	short := ask{vm: "e", id: 1, objective: begin.Add(300 * time.Millisecond), deadline: begin.Add(300 * time.Millisecond)}
+	is.Equal(d.place(short, plan, begin).target, "s")
+	short.id = 2
+	r := d.place(short, plan, begin)
+	is.Equal(r.target, "")
+	is.True(!r.queued)
+	is.True(r.retry > 0)
+}
+
+func TestSeatsOfLostEntriesComeBack(t *testing.T) {
+	is := is.New(t)
+	d := newDesk()
+	plan := floorPlan{
+		targets: []fleet.Target{{Name: "s", Slots: 1, Boot: 1}}, ramp: func(string) *Ramp { return nil },
+	}
+	a := ask{vm: "e", id: 1, objective: begin.Add(time.Second), deadline: begin.Add(time.Second)}
+	is.Equal(d.place(a, plan, begin).target, "s")
+	d.tick(plan, begin.Add(time.Second+lostAfter+1))
+	is.Equal(d.inUse["s"], 0)
+}
--- a/pool/holder.go
+++ b/pool/holder.go
@@ -20,6 +20,8 @@
 	// warmed are backend servers that finished their ramp, by their boot: they
 	// stay warm even while they announce that they are cold.
 	warmed map[string]uint64
+	// desk places requests, if this is what the holder is asked for.
+	desk *desk
 	// published is what was told to the fleet last.
 	published ruling
 }
@@ -39,7 +41,7 @@
 
 func newHolder(since time.Time) *holder {
 	return &holder{
-		since: since, judge: health.NewJudge(),
+		since: since, judge: health.NewJudge(), desk: newDesk(),
 		ramps: make(map[string]*Ramp), warmed: make(map[string]uint64),
 	}
 }
@@ -101,7 +103,7 @@
 }
 
 func newRamp(t fleet.Target, p state.Pool) *Ramp {
-	return NewRamp(t.Slots, max(1, p.ColdSlots), time.Duration(p.Ramp))
+	return NewRamp(t.Slots, max(1, p.ColdSlots), time.Duration(p.Ramp)).WithRate(p.ColdRate)
 }
 
 // probationRamp is the ramp of a backend server that is readmitted: it is not
--- a/pool/options.go
+++ b/pool/options.go
@@ -12,8 +12,12 @@
 	State func() state.State
 	// Settings returns the settings of all pools.
 	Settings func() []state.Pool
-	Clock    clock.Service
-	Line     *event.Line
+	// DataCentre is where this VM runs.
+	DataCentre string
+	// Placement says who chooses the backend servers.
+	Placement Placement
+	Clock     clock.Service
+	Line      *event.Line
 }
 
 // Option changes one setting.
@@ -28,6 +32,12 @@
 // Settings sets the source of the settings of all pools.
 func Settings(f func() []state.Pool) Option { return func(o *Options) { o.Settings = f } }
 
+// DataCentre sets where this VM runs.
+func DataCentre(name string) Option { return func(o *Options) { o.DataCentre = name } }
+
+// Place sets who chooses the backend servers.
+func Place(by Placement) Option { return func(o *Options) { o.Placement = by } }
+
 // Clock sets the timer service.
 func Clock(s clock.Service) Option { return func(o *Options) { o.Clock = s } }
 
@@ -36,8 +46,9 @@
 
 func newOptions(opts ...Option) Options {
 	o := Options{
-		State:    func() state.State { return state.State{} },
-		Settings: func() []state.Pool { return nil },
+		Placement: PlaceLocal,
+		State:     func() state.State { return state.State{} },
+		Settings:  func() []state.Pool { return nil },
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -53,6 +53,8 @@
 	pools   map[string]*member
 	holders map[string]*holder
 	tokens  uint64
+	// awaits are the requests of this VM that wait for a holder's word.
+	awaits map[uint64]*await
 }
 
 // member is this VM's knowledge of one pool.
@@ -69,7 +71,7 @@
 func New(l link.Link, f *fleet.Fleet, leases *lease.Leases, opts ...Option) *Pools {
 	p := &Pools{
 		options: newOptions(opts...), link: l, fleet: f, leases: leases,
-		pools: make(map[string]*member), holders: make(map[string]*holder),
+		pools: make(map[string]*member), holders: make(map[string]*holder), awaits: make(map[uint64]*await),
 	}
 	f.Watch(fleet.KindEjection, p.noteRuling)
 	return p
@@ -219,6 +221,7 @@
 		if changed {
 			p.publish(settings.Name, next)
 		}
+		p.tickDesk(settings.Name, now)
 	}
 }
 
@@ -256,6 +259,12 @@
 		p.receivePermitAsk(from, body.PermitAsk, now)
 	case *wire.Envelope_PermitAnswer:
 		p.receivePermitAnswer(body.PermitAnswer, now)
+	case *wire.Envelope_SlotAsk:
+		p.receiveSlotAsk(from, body.SlotAsk)
+	case *wire.Envelope_SlotAnswer:
+		p.receiveSlotAnswer(from, body.SlotAnswer)
+	case *wire.Envelope_SlotDone:
+		p.receiveSlotDone(from, body.SlotDone, now)
 	default:
 		return false
 	}
--- a/pool/ramp.go
+++ b/pool/ramp.go
@@ -1,6 +1,9 @@
 package pool
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// permitHold is the longest time that a permit can be in use. A holder counts
@@ -20,6 +23,11 @@
 
 	warmingSince time.Time // zero before the first good answer
 	permits      []time.Time
+
+	// rate bounds the permits of any second, 0 for no bound; recent are those of
+	// the last one.
+	rate   float64
+	recent []time.Time
 }
 
 // NewRamp returns the ramp of a backend server that has just turned cold.
@@ -27,6 +35,27 @@
 	return &Ramp{slots: slots, coldSlots: min(coldSlots, slots), length: length}
 }
 
+// WithRate bounds the permits of any second.
+func (r *Ramp) WithRate(perSecond float64) *Ramp {
+	r.rate = perSecond
+	return r
+}
+
+// rateSpan is the span for which the rate of a cold backend server counts.
+const rateSpan = time.Second
+
+// Free reports whether there is a permit.
+func (r *Ramp) Free(now time.Time) bool {
+	if r.InUse(now) >= r.Limit(now) {
+		return false
+	}
+	if r.rate <= 0 {
+		return true
+	}
+	r.recent = slices.DeleteFunc(r.recent, func(at time.Time) bool { return now.Sub(at) >= rateSpan })
+	return float64(len(r.recent)) < r.rate
+}
+
 // Limit returns the number of requests allowed at once.
 func (r *Ramp) Limit(now time.Time) int {
 	if r.warmingSince.IsZero() || r.length <= 0 {
@@ -50,10 +79,13 @@
 
 // Grant gives a permit, and reports whether there was one.
 func (r *Ramp) Grant(now time.Time) bool {
-	if r.InUse(now) >= r.Limit(now) {
+	if !r.Free(now) {
 		return false
 	}
 	r.permits = append(r.permits, now)
+	if r.rate > 0 {
+		r.recent = append(r.recent, now)
+	}
 	return true
 }
 
--- /dev/null
+++ b/pool/seat.go
@@ -0,0 +1,288 @@
+package pool
+
+import (
+	"context"
+	"time"
+
+	"github.com/dottereldeal/dottereldeal/health"
+	"github.com/dottereldeal/dottereldeal/pick"
+	"github.com/dottereldeal/dottereldeal/state"
+	"github.com/dottereldeal/dottereldeal/wire"
+)
+
+const (
+	// deskPatience is how long an entry waits for the first word of a pool's
+	// holder before it chooses by itself. It covers a round trip between regions.
+	deskPatience = 150 * time.Millisecond
+	// noObjective is the time until an answer loses worth where no route says so.
+	noObjective = time.Hour
+)
+
+// Placement says who chooses the backend server of a request.
+type Placement string
+
+// The placements.
+const (
+	// PlaceLocal lets every entry choose by itself.
+	PlaceLocal Placement = "local"
+	// PlaceHolder lets the holder of the pool choose for all entries.
+	PlaceHolder Placement = "holder"
+)
+
+// Refusal is an answer of a pool's holder that there is no room in time.
+type Refusal struct {
+	// RetryAfter is the time after which there is likely to be room.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return "all slots of the pool are taken, also in time" }
+
+// After returns the time after which there is likely to be room.
+func (r *Refusal) After() time.Duration { return r.RetryAfter }
+
+// Unwrap makes a refusal a case of pick.ErrNone.
+func (r *Refusal) Unwrap() error { return pick.ErrNone }
+
+// await is an ask of this VM that waits for the holder's word.
+type await struct {
+	answers chan *wire.SlotAnswer
+}
+
+// askDesk asks the holder of a pool for a backend server. It reports false if this
+// VM has to choose by itself.
+func (p *Pools) askDesk(ctx context.Context, pool string, r pick.Request) (pick.Choice, error, bool) {
+	if p.options.Placement != PlaceHolder {
+		return pick.Choice{}, nil, false
+	}
+	p.mu.Lock()
+	p.tokens++
+	m := p.slotAsk(ctx, pool, p.tokens, r)
+	waiting := &await{answers: make(chan *wire.SlotAnswer, 2)}
+	p.awaits[m.GetId()] = waiting
+	holder, known := p.holderOf(pool)
+	var replies []reply
+	if known && holder == p.options.VM {
+		replies = p.placeHere(p.options.VM, p.options.DataCentre, m)
+	}
+	p.mu.Unlock()
+	defer p.endAwait(m.GetId())
+	if !known {
+		return pick.Choice{}, nil, false
+	}
+	p.sendReplies(pool, replies)
+	if holder != p.options.VM {
+		p.link.Send(holder, &wire.Envelope{Body: &wire.Envelope_SlotAsk{SlotAsk: m}})
+	}
+	return p.awaitSeat(ctx, pool, holder, m, waiting)
+}
+
+// holderOf returns the VM that holds a pool.
+func (p *Pools) holderOf(pool string) (string, bool) {
+	if _, held := p.leases.Held(LeaseName(pool)); held {
+		return p.options.VM, true
+	}
+	vm, known := p.leases.Holder(LeaseName(pool))
+	return vm, known && vm != p.options.VM
+}
+
+func (p *Pools) slotAsk(ctx context.Context, pool string, id uint64, r pick.Request) *wire.SlotAsk {
+	left := noObjective
+	if end, ok := ctx.Deadline(); ok {
+		left = time.Until(end)
+	}
+	if r.Left > 0 {
+		left = min(left, r.Left)
+	}
+	objective := r.Objective
+	if objective <= 0 {
+		objective = left
+	}
+	return &wire.SlotAsk{
+		Pool: pool, Id: id, Idempotent: r.Idempotent, Rank: uint32(max(0, r.Rank)), Workspace: r.Workspace,
+		ObjectiveMicros: uint64(max(0, objective).Microseconds()), DeadlineMicros: uint64(max(0, left).Microseconds()),
+		Avoid: r.Avoid,
+	}
+}
+
+// awaitSeat waits for the holder's word. A holder that is silent, or that has
+// queued the request for longer than it could take, leaves the choice to this VM.
+func (p *Pools) awaitSeat(ctx context.Context, pool, holder string, m *wire.SlotAsk, w *await) (pick.Choice, error, bool) {
+	timer := time.NewTimer(deskPatience)
+	defer timer.Stop()
+	for {
+		select {
+		case answer := <-w.answers:
+			switch {
+			case answer.GetNotHolder():
+				return pick.Choice{}, nil, false
+			case answer.GetQueued():
+				timer.Reset(time.Duration(m.GetDeadlineMicros()) * time.Microsecond / 2)
+				continue
+			case answer.GetTarget() == "":
+				return pick.Choice{}, &Refusal{RetryAfter: time.Duration(answer.GetRetryMicros()) * time.Microsecond}, true
+			}
+			choice, ok := p.takeSeat(pool, holder, m.GetId(), answer.GetTarget())
+			return choice, nil, ok
+		case <-timer.C:
+			p.giveBack(pool, holder, m.GetId(), health.Result{})
+			return pick.Choice{}, nil, false
+		case <-ctx.Done():
+			p.giveBack(pool, holder, m.GetId(), health.Result{})
+			return pick.Choice{}, pick.ErrNone, true
+		}
+	}
+}
+
+// takeSeat uses a backend server that the holder has chosen. A server that this VM
+// does not know yet is given back.
+func (p *Pools) takeSeat(pool, holder string, id uint64, name string) (pick.Choice, bool) {
+	for _, t := range p.eligible(pool) {
+		if t.Name != name {
+			continue
+		}
+		p.mu.Lock()
+		choice := p.choose(p.member(pool), t, false, p.options.Clock.Now())
+		p.mu.Unlock()
+		finish := choice.Done
+		choice.Done = func(r health.Result) {
+			finish(r)
+			p.giveBack(pool, holder, id, r)
+		}
+		return choice, true
+	}
+	p.giveBack(pool, holder, id, health.Result{})
+	return pick.Choice{}, false
+}
+
+// giveBack tells the holder what became of a request.
+func (p *Pools) giveBack(pool, holder string, id uint64, r health.Result) {
+	m := &wire.SlotDone{Pool: pool, Id: id, Result: string(r.Kind), LatencyMicros: uint64(r.Latency.Microseconds())}
+	if holder == p.options.VM {
+		p.receiveSlotDone(holder, m, p.options.Clock.Now())
+		return
+	}
+	p.link.Send(holder, &wire.Envelope{Body: &wire.Envelope_SlotDone{SlotDone: m}})
+}
+
+func (p *Pools) endAwait(id uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.awaits, id)
+}
+
+// placeHere serves an ask as the holder.
+func (p *Pools) placeHere(vm, centre string, m *wire.SlotAsk) []reply {
+	now := p.options.Clock.Now()
+	h := p.holding(m.GetPool())
+	if h == nil {
+		return nil
+	}
+	a := ask{
+		vm: vm, id: m.GetId(), centre: centre, idempotent: m.GetIdempotent(), rank: int(m.GetRank()),
+		workspace: m.GetWorkspace(), avoid: m.GetAvoid(),
+		objective: now.Add(time.Duration(m.GetObjectiveMicros()) * time.Microsecond),
+		deadline:  now.Add(time.Duration(m.GetDeadlineMicros()) * time.Microsecond),
+	}
+	return []reply{h.desk.place(a, p.floorPlan(m.GetPool(), h, now), now)}
+}
+
+// floorPlan returns what a desk knows of the backend servers of its pool.
+func (p *Pools) floorPlan(pool string, h *holder, now time.Time) floorPlan {
+	settings, _ := state.Get[state.Pool](p.options.State(), pool)
+	plan := floorPlan{targets: p.eligible(pool), ramp: func(name string) *Ramp {
+		if now.Before(h.permitsFrom()) {
+			return nil
+		}
+		return h.ramps[name]
+	}}
+	for _, t := range plan.targets {
+		h.noteCold(t, settings)
+	}
+	for _, e := range h.judge.Ejected() {
+		plan.shunned = append(plan.shunned, e.Target)
+	}
+	return plan
+}
+
+// receiveSlotAsk serves an ask of another entry.
+func (p *Pools) receiveSlotAsk(from string, m *wire.SlotAsk) {
+	centre := ""
+	for _, member := range p.fleet.Members() {
+		if member.VM == from {
+			centre = member.DataCentre
+		}
+	}
+	p.mu.Lock()
+	replies := p.placeHere(from, centre, m)
+	p.mu.Unlock()
+	if replies == nil {
+		answer := &wire.SlotAnswer{Pool: m.GetPool(), Id: m.GetId(), NotHolder: true}
+		p.link.Send(from, &wire.Envelope{Body: &wire.Envelope_SlotAnswer{SlotAnswer: answer}})
+		return
+	}
+	p.sendReplies(m.GetPool(), replies)
+}
+
+// sendReplies tells entries, this one included, what the desk has decided.
+func (p *Pools) sendReplies(pool string, replies []reply) {
+	for _, r := range replies {
+		answer := &wire.SlotAnswer{
+			Pool: pool, Id: r.ask.id, Target: r.target, Queued: r.queued, RetryMicros: uint64(r.retry.Microseconds()),
+		}
+		if r.ask.vm == p.options.VM {
+			p.receiveSlotAnswer(p.options.VM, answer)
+			continue
+		}
+		p.link.Send(r.ask.vm, &wire.Envelope{Body: &wire.Envelope_SlotAnswer{SlotAnswer: answer}})
+	}
+}
+
+// receiveSlotAnswer hands the holder's word to the request that waits for it. A
+// server for a request that no longer waits is given back.
+func (p *Pools) receiveSlotAnswer(from string, m *wire.SlotAnswer) {
+	p.mu.Lock()
+	w, ok := p.awaits[m.GetId()]
+	p.mu.Unlock()
+	if ok {
+		select {
+		case w.answers <- m:
+			return
+		default:
+		}
+	}
+	if m.GetTarget() != "" {
+		p.giveBack(m.GetPool(), from, m.GetId(), health.Result{})
+	}
+}
+
+// receiveSlotDone takes a slot back and serves the requests that wait for one.
+func (p *Pools) receiveSlotDone(from string, m *wire.SlotDone, now time.Time) {
+	result := health.Result{
+		Kind: health.Kind(m.GetResult()), Latency: time.Duration(m.GetLatencyMicros()) * time.Microsecond,
+	}
+	p.mu.Lock()
+	h := p.holding(m.GetPool())
+	if h == nil {
+		p.mu.Unlock()
+		return
+	}
+	plan := p.floorPlan(m.GetPool(), h, now)
+	h.desk.done(seatKey{from, m.GetId()}, result, plan, now)
+	replies := h.desk.serve(plan, now)
+	p.mu.Unlock()
+	p.sendReplies(m.GetPool(), replies)
+}
+
+// tickDesk lets a desk of this VM speak by itself.
+func (p *Pools) tickDesk(pool string, now time.Time) {
+	p.mu.Lock()
+	h := p.holding(pool)
+	if h == nil {
+		p.mu.Unlock()
+		return
+	}
+	replies := h.desk.tick(p.floorPlan(pool, h, now), now)
+	p.mu.Unlock()
+	p.sendReplies(pool, replies)
+}
--- a/prog/serve.go
+++ b/prog/serve.go
@@ -21,6 +21,7 @@
 	"github.com/dottereldeal/dottereldeal/entry"
 	"github.com/dottereldeal/dottereldeal/event"
 	"github.com/dottereldeal/dottereldeal/platform"
+	"github.com/dottereldeal/dottereldeal/pool"
 	"github.com/dottereldeal/dottereldeal/proxy"
 	"github.com/dottereldeal/dottereldeal/store"
 )
@@ -274,6 +275,7 @@
 	drainLimit := set.Duration("drain-limit", "longest wait for running requests at a planned stop", conf.Default("60s"))
 	grace := set.Duration("key-grace", "time that a running request may outlive its key", conf.Default("2s"))
 	cutOff := conf.Var(set, "when-cut-off", "what to do while cut off from control and the other entries: stop or serve", parseCutOff, conf.Default("stop"))
+	place := conf.Var(set, "placement", "who chooses the backend servers: local (every entry) or holder (one for all)", parsePlacement, conf.Default("local"))
 	return func(set *conf.Set, s streams) int {
 		if len(*control)+len(*found.seeds) == 0 {
 			set.Add("--control", "is required where there are no --seeds")
@@ -305,7 +307,7 @@
 			entry.Clock(p.clock), entry.Line(p.line), entry.Proxy(proxy.Logger(p.logger)),
 			entry.Identity(identity), entry.CallersIdentity(callersIdentity),
 			entry.KeyPlaces(*keyHeader, *keyQuery, *keyCookie),
-			entry.Drain(*drainDelay, *drainLimit), entry.Grace(*grace), entry.WhenCutOff(*cutOff),
+			entry.Drain(*drainDelay, *drainLimit), entry.Grace(*grace), entry.WhenCutOff(*cutOff), entry.Placement(*place),
 		}
 		if *found.bounds != "" {
 			delay, limit := planStop(bounds.Grace)
@@ -322,6 +324,14 @@
 	return grace / 2, grace * 5 / 12
 }
 
+func parsePlacement(text string) (pool.Placement, error) {
+	by := pool.Placement(text)
+	if by != pool.PlaceLocal && by != pool.PlaceHolder {
+		return "", fmt.Errorf("%q is neither local nor holder", text)
+	}
+	return by, nil
+}
+
 func parseCutOff(text string) (entry.CutOff, error) {
 	c := entry.CutOff(text)
 	if c != entry.CutOffServe && c != entry.CutOffStop {
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -41,7 +41,11 @@
 	case errors.Is(f.cause, ErrKeyWithdrawn):
 		return problemWithdrawn.withOutcome(f.outcome)
 	case f.outcome == NotRun:
-		return problemNoTarget
+		var full interface{ After() time.Duration }
+		if errors.As(f.cause, &full) {
+			return problemNoTarget.withDetail(f.cause.Error()).withRetryAfter(full.After())
+		}
+		return problemNoTarget.withDetail(f.cause.Error())
 	case errors.Is(f.cause, ErrDeadline), errors.Is(f.cause, ErrStalled):
 		return problemDeadline.withOutcome(f.outcome)
 	default:
--- a/proxy/try.go
+++ b/proxy/try.go
@@ -63,6 +63,24 @@
 	return nil, t.last
 }
 
+// pickRequest describes the request to whoever chooses its backend server.
+func (x *exchange) pickRequest(used []string, limit *deadline) pick.Request {
+	r := pick.Request{
+		Avoid: used, Idempotent: x.route.Idempotent, Rank: x.route.Rank, Left: limit.left(),
+		Objective: time.Duration(x.route.Objective) - x.handler.options.Clock.Now().Sub(x.arrived),
+	}
+	if x.workspace != nil {
+		r.Workspace = x.workspace.Name
+		if x.workspace.Rank != nil {
+			r.Rank = *x.workspace.Rank
+		}
+	}
+	if x.route.Objective == 0 {
+		r.Objective = 0
+	}
+	return r
+}
+
 // attempts returns how many backend servers the request may be sent to.
 func (x *exchange) attempts() int {
 	if x.route.Attempts > 0 {
@@ -73,7 +91,7 @@
 
 // start begins one attempt at a backend server that was not used yet.
 func (t *trial) start(ctx context.Context) error {
-	choice, err := t.exchange.handler.options.Picker.Pick(ctx, t.exchange.pool, pick.Request{Avoid: t.used})
+	choice, err := t.exchange.handler.options.Picker.Pick(ctx, t.exchange.pool, t.exchange.pickRequest(t.used, t.limit))
 	if err != nil {
 		return err
 	}
