Reach the group's other replicas after a restart, and shed surplus voters

Cause: a restarted replica knew the addresses of its group only from the log that it applies, and nobody could be reached to commit it. A second fault was found by the new tests: a replacement that had caught up before the lost replica counted as silent was promoted, and the lost one stayed as a sixth voter. Ruled out: the election itself; with addresses it takes about a second. Change: the addresses of the restored group are set at the start; a voter that is silent is removed once there are more voters than needed.

--- a/ctrl/ctrl.go
+++ b/ctrl/ctrl.go
@@ -143,6 +143,7 @@
 			c.link.SetPeer(vm, addr)
 		}
 	}
+	c.setPeers(c.core.Status().Group)
 	return c, nil
 }
 
--- a/ctrl/repair.go
+++ b/ctrl/repair.go
@@ -78,9 +78,36 @@
 		}
 		return repairStep{repairPromote, r}
 	}
+	if lost := v.surplus(); lost != nil {
+		return repairStep{repairRemove, *lost}
+	}
 	return repairStep{}
 }
 
+// surplus returns the longest silent voter of a group that has more than it needs:
+// another one has taken its place.
+func (v repairView) surplus() *quorum.Replica {
+	if v.group.Voters() <= v.wanted {
+		return nil
+	}
+	return v.longestSilent(0)
+}
+
+// longestSilent returns the voter that has been silent for longest and long enough
+// to be replaced, other than this replica and a new one.
+func (v repairView) longestSilent(fresh quorum.ID) *quorum.Replica {
+	var longest *quorum.Replica
+	for _, r := range v.group.Replicas() {
+		if r.ID == fresh || r.ID == v.self || r.Learner || v.silence(r.ID) <= goneAfter {
+			continue
+		}
+		if longest == nil || v.silence(r.ID) > v.silence(longest.ID) {
+			longest = &r
+		}
+	}
+	return longest
+}
+
 // superseded reports whether a learner's VM has started again with another disk.
 func (v repairView) superseded(learner quorum.Replica) bool {
 	for _, r := range v.waiting {
@@ -94,22 +121,16 @@
 // replaced returns the member whose place a new replica takes: the one that its
 // VM had before, or the longest silent one if there are enough voters.
 func (v repairView) replaced(fresh quorum.Replica) *quorum.Replica {
-	var longest *quorum.Replica
 	for _, r := range v.group.Replicas() {
-		if r.ID == fresh.ID || r.ID == v.self || r.Learner {
-			continue
-		}
-		if r.VM == fresh.VM || r.Addr == fresh.Addr {
+		taken := r.VM == fresh.VM || r.Addr == fresh.Addr
+		if taken && r.ID != fresh.ID && r.ID != v.self && !r.Learner {
 			return &r
 		}
-		if v.silence(r.ID) > goneAfter && (longest == nil || v.silence(r.ID) > v.silence(longest.ID)) {
-			longest = &r
-		}
 	}
 	if v.group.Voters() < v.wanted {
 		return nil
 	}
-	return longest
+	return v.longestSilent(fresh.ID)
 }
 
 // tickRepair makes the next membership change, if this replica leads a group
--- a/pool/desk.go
+++ b/pool/desk.go
@@ -317,8 +317,13 @@
 		}
 		return late
 	})
-	for {
-		at, target := d.next(plan, now)
+	for len(d.queue) > 0 {
+		open := plan
+		open.targets = d.open(plan, now)
+		if len(open.targets) == 0 {
+			return replies
+		}
+		at, target := d.next(open, now)
 		if at < 0 {
 			return replies
 		}
@@ -326,6 +331,18 @@
 		d.queue = slices.Delete(d.queue, at, at+1)
 		replies = append(replies, d.seat(a, target, plan, now))
 	}
+	return replies
+}
+
+// open returns the servers with a free slot.
+func (d *desk) open(plan floorPlan, now time.Time) []fleet.Target {
+	var list []fleet.Target
+	for _, t := range plan.targets {
+		if d.room(t, plan, now) {
+			list = append(list, t)
+		}
+	}
+	return list
 }
 
 // next returns the ask that is served next, and its server: the most urgent one,
