Ask a second control VM, and trust only one that knows its leader

Cause: when the core was cut in two, every entry followed the old leader on the minority side. Ruled out: gossip between entries; all of them lagged, none was ahead.

--- a/entry/follow.go
+++ b/entry/follow.go
@@ -29,6 +29,7 @@
 	controls   []string
 	seeds      []netip.AddrPort
 	current    int
+	other      int
 	heard      time.Time
 	assemblers map[string]*state.Assembler
 	// source is the VM that sends a large delta, and when its last part came.
@@ -51,8 +52,10 @@
 	f.seeds = seeds
 }
 
-// sources returns whom to ask: the control VM in use, or all control VMs and
-// seeds while there is no configuration yet or none of them answers.
+// sources returns whom to ask: the control VM in use and another one, or all
+// control VMs and seeds while there is no configuration yet or none of them answers.
+// The other one finds out what a control VM that is cut off from its group, and
+// does not know yet, cannot say.
 func (f *follower) sources(now time.Time) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -60,8 +63,12 @@
 	if silent && len(f.controls) > 0 {
 		f.current = (f.current + 1) % len(f.controls)
 	}
-	if f.entry.State().Index() > 0 && !silent {
-		return f.controls[f.current : f.current+1]
+	if f.entry.State().Index() > 0 && !silent && len(f.controls) > 0 {
+		f.other = (f.other + 1) % len(f.controls)
+		if f.other == f.current {
+			f.other = (f.other + 1) % len(f.controls)
+		}
+		return slices.Compact([]string{f.controls[f.current], f.controls[f.other]})
 	}
 	sources := slices.Clone(f.controls)
 	for _, seed := range f.seeds {
@@ -150,7 +157,8 @@
 	defer f.mu.Unlock()
 	f.noteControls(d.GetControls())
 	at := slices.Index(f.controls, from)
-	if at < 0 {
+	if at < 0 || d.GetLeader() == "" {
+		// A control VM without a leader does not know what is new.
 		return
 	}
 	now := f.entry.options.Clock.Now()
