Keep a server that deregistered out for the rest of its start

Cause: a server that leaves goes on sending heartbeats, or one is still on its way, with a higher count than its removal was recorded under. Ruled out: entries that lag; the core was stable and all of them were told. Test: TestLateAnnouncementsDoNotBringBackAServerThatLeft failed before.

--- /dev/null
+++ b/ledger/target_test.go
@@ -0,0 +1,79 @@
+package ledger
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/dottereldeal/dottereldeal/state"
+	"github.com/dottereldeal/dottereldeal/ticket"
+)
+
+// book applies registrations one after the other.
+func book(targets ...state.Target) Ledger {
+	l := New(DefaultWindow)
+	for i, t := range targets {
+		change := ticket.Ticket{Number: SystemNumber, Set: []state.Object{t}}
+		l, _ = l.Apply(uint64(i+1), Proposal{Ticket: change})
+	}
+	return l
+}
+
+func server(name string, boot, count uint64, phase state.TargetPhase) state.Target {
+	return state.Target{Name: name, Pool: "p", DataCentre: "a", Addr: "10.0.0.1:80", Slots: 4, Phase: phase, Boot: boot, Count: count}
+}
+
+func phaseOf(l Ledger, name string) state.TargetPhase {
+	t, _ := state.Get[state.Target](l.State(), name)
+	return t.Phase
+}
+
+func TestLateAnnouncementsDoNotBringBackAServerThatLeft(t *testing.T) {
+	is := is.New(t)
+	gone := server("s1", 100, 5, state.TargetGone)
+	l := book(server("s1", 100, 4, state.TargetWarm), gone, server("s1", 100, 40, state.TargetWarm))
+	is.Equal(phaseOf(l, "s1"), state.TargetGone)
+	l = book(server("s1", 100, 4, state.TargetWarm), gone, server("s1", 200, 1, state.TargetCold))
+	is.Equal(phaseOf(l, "s1"), state.TargetCold) // a new start does
+}
+
+func TestReorderedAnnouncements(t *testing.T) {
+	is := is.New(t)
+	l := book(server("s1", 100, 9, state.TargetLeaving), server("s1", 100, 8, state.TargetWarm))
+	is.Equal(phaseOf(l, "s1"), state.TargetLeaving)
+}
+
+func TestAddressBelongsToTheNewestStart(t *testing.T) {
+	is := is.New(t)
+	l := book(server("s1", 100, 4, state.TargetWarm), server("s2", 200, 1, state.TargetWarm))
+	is.Equal(phaseOf(l, "s1"), state.TargetGone)
+	is.Equal(phaseOf(l, "s2"), state.TargetWarm)
+	l = book(server("s2", 200, 1, state.TargetWarm), server("s1", 100, 7, state.TargetWarm))
+	is.Equal(phaseOf(l, "s1"), state.TargetPhase("")) // late word of the server before it
+	is.Equal(phaseOf(l, "s2"), state.TargetWarm)
+}
+
+func TestPlansReplaceEverythingUnderTheHighestVersion(t *testing.T) {
+	is := is.New(t)
+	apply := func(l Ledger, index, version uint64, names ...string) (Ledger, Outcome) {
+		var objects []state.Object
+		for _, name := range names {
+			objects = append(objects, state.Workspace{Name: name, Rate: float64(version), Burst: 1})
+		}
+		return l.Apply(index, Proposal{Ticket: ticket.NewPlan(version, []byte(names[0]), objects...)})
+	}
+	l, _ := apply(New(DefaultWindow), 1, 5, "a", "b")
+	l, o := apply(l, 2, 4, "c")
+	is.Equal(o.Verdict, Accepted)
+	is.True(o.Repeated)
+	is.Equal(l.Plan().Version, uint64(5))
+	l, _ = apply(l, 3, 9, "b", "c")
+	is.Equal(len(state.List[state.Workspace](l.State())), 2)
+	_, known := state.Get[state.Workspace](l.State(), "a")
+	is.True(!known)
+	image, err := l.Image()
+	is.NoErr(err)
+	again, err := FromImage(image, DefaultWindow)
+	is.NoErr(err)
+	is.Equal(again.Plan(), l.Plan())
+}
--- a/state/object.go
+++ b/state/object.go
@@ -226,14 +226,23 @@
 	return t
 }
 
-// Newer reports whether the target was announced after another one of its name.
+// Newer reports whether the target was announced after another one of its name. A
+// server that has left does not come back in the same start, whatever is still on
+// its way.
 func (t Target) Newer(other Target) bool {
 	if t.Boot != other.Boot {
 		return t.Boot > other.Boot
 	}
+	if other.Phase == TargetGone {
+		return t.Boot == 0 && t.Count <= firstCount
+	}
 	return t.Count > other.Count
 }
 
+// firstCount is the count of a first announcement: where servers do not tell their
+// start, it shows that there was a new one.
+const firstCount = 1
+
 // Same reports whether two announcements say the same, save for their count.
 func (t Target) Same(other Target) bool {
 	t.Count = other.Count
