--- a/pool/desk_test.go
+++ b/pool/desk_test.go
@@ -181,3 +181,25 @@
 	d.tick(plan, begin.Add(time.Second+lostAfter+1))
 	is.Equal(d.inUse["s"], 0)
 }
+
+// A cold server bears few requests a second. A holder that has just begun must
+// obey that from its first request on.
+func TestDeskKeepsTheRateOfColdServers(t *testing.T) {
+	is := is.New(t)
+	const rate = 9.2
+	ramp := NewRamp(100, 100, 3*time.Second).WithRate(rate)
+	plan := floorPlan{
+		targets: []fleet.Target{{Name: "s", Slots: 100, Boot: 1}}, ramp: func(string) *Ramp { return ramp },
+	}
+	d := newDesk()
+	seated := 0
+	for id := range uint64(100) {
+		a := ask{vm: "e", id: id, idempotent: true, objective: begin.Add(time.Second), deadline: begin.Add(time.Second)}
+		if d.place(a, plan, begin.Add(time.Duration(id)*time.Millisecond)).target != "" {
+			seated++
+			d.done(a.key(), health.Result{Kind: health.OK, Latency: time.Millisecond}, plan, begin)
+		}
+	}
+	is.True(seated <= 10)
+	is.True(seated >= 9)
+}
--- a/pool/seat.go
+++ b/pool/seat.go
@@ -190,12 +190,7 @@
 // floorPlan returns what a desk knows of the backend servers of its pool.
 func (p *Pools) floorPlan(pool string, h *holder, now time.Time) floorPlan {
 	settings, _ := state.Get[state.Pool](p.options.State(), pool)
-	plan := floorPlan{targets: p.eligible(pool), ramp: func(name string) *Ramp {
-		if now.Before(h.permitsFrom()) {
-			return nil
-		}
-		return h.ramps[name]
-	}}
+	plan := floorPlan{targets: p.eligible(pool), ramp: func(name string) *Ramp { return h.ramps[name] }}
 	for _, t := range plan.targets {
 		h.noteCold(t, settings)
 	}
