Admit what operators tolerate, and admit alone while a shard's holder is silent

Cause: (1) a workspace whose rate was lowered got 194 refusals in 30 s though the users tolerate (rate x 5 s + burst) x 1.1 + 20 in any 5 s. (2) While the holder of a workspace's shard is away, requests waited for half of their time and were refused: 3 s after a restart of all. Ruled out for (1): the state of the leases; the refusals follow the bucket. Change: with a tolerance, the holder's bucket fills at the tolerated flow and a count over the window bounds it at 85%; entries that hear nothing for 150 ms admit their part of the rest by themselves.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -91,7 +91,8 @@
 		lease.VM(e.options.VM), lease.Boot(boot), lease.Voters(func() []string { return e.State().Electors() }),
 		lease.Fresh(e.fresh), lease.Clock(e.options.Clock), lease.Line(e.options.Line),
 	)
-	e.limits = limit.NewShared(e.options.VM, e.options.Clock, e.link, e.leases, e.State)
+	e.limits = limit.NewShared(e.options.VM, e.options.Clock, e.link, e.leases, e.State).
+		WithTolerance(e.options.Tolerance, e.MemberCount)
 	e.pools = pool.New(e.link, e.fleet, e.leases,
 		pool.VM(e.options.VM), pool.DataCentre(e.options.DataCentre), pool.Place(e.options.Placement), pool.State(e.State),
 		pool.Settings(func() []state.Pool { return e.view.Load().Pools }), pool.Clock(e.options.Clock), pool.Line(e.options.Line),
--- a/entry/options.go
+++ b/entry/options.go
@@ -11,6 +11,7 @@
 	"github.com/dottereldeal/dottereldeal/clock"
 	"github.com/dottereldeal/dottereldeal/conf"
 	"github.com/dottereldeal/dottereldeal/event"
+	"github.com/dottereldeal/dottereldeal/limit"
 	"github.com/dottereldeal/dottereldeal/meter"
 	"github.com/dottereldeal/dottereldeal/pool"
 	"github.com/dottereldeal/dottereldeal/proxy"
@@ -42,6 +43,8 @@
 	Peers conf.Peers
 	// WhenCutOff says what to do while the configuration may be out of date.
 	WhenCutOff CutOff
+	// Tolerance is how far workspaces may exceed their rate.
+	Tolerance limit.Tolerance
 	// Placement says who chooses the backend servers of requests.
 	Placement pool.Placement
 	Clock     clock.Service
@@ -104,6 +107,9 @@
 // Placement sets who chooses the backend servers of requests.
 func Placement(by pool.Placement) Option { return func(o *Options) { o.Placement = by } }
 
+// Tolerance sets how far workspaces may exceed their rate.
+func Tolerance(t limit.Tolerance) Option { return func(o *Options) { o.Tolerance = t } }
+
 // Proxy adds options of the proxy.
 func Proxy(opts ...proxy.Option) Option {
 	return func(o *Options) { o.Proxy = append(o.Proxy, opts...) }
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -41,6 +41,10 @@
 	burst  float64
 	tokens float64
 	filled time.Time
+
+	// tolerance widens the rate, and granted keeps what is tolerated in any window.
+	tolerance Tolerance
+	granted   *window
 }
 
 // NewBucket returns an empty bucket that starts to fill at an instant.
@@ -48,14 +52,58 @@
 	return &Bucket{rate: rate, burst: burst, filled: start}
 }
 
+// WithTolerance lets the bucket grant as much as operators tolerate.
+func (b *Bucket) WithTolerance(t Tolerance, now time.Time) *Bucket {
+	if t.Window <= 0 {
+		return b
+	}
+	b.tolerance = t
+	b.granted = newWindow(t.Window+maxLifetime, b.most(), now)
+	return b
+}
+
+// most returns the number of tokens that may be granted in a window.
+func (b *Bucket) most() float64 { return holderPart * b.tolerance.limit(b.rate, b.burst) }
+
+// flow returns the tokens that the bucket gets in a second: the rate, or what is
+// tolerated over a long time.
+func (b *Bucket) flow() float64 {
+	if b.granted == nil {
+		return b.rate
+	}
+	return math.Max(b.rate, b.most()/(b.tolerance.Window+maxLifetime).Seconds())
+}
+
+// size returns the number of tokens that the bucket holds.
+func (b *Bucket) size() float64 {
+	if b.granted == nil {
+		return capacity(b.rate, b.burst)
+	}
+	return math.Max(1, b.burst)
+}
+
+// room returns how many tokens may be granted now for the sake of the window.
+func (b *Bucket) room(now time.Time) float64 {
+	if b.granted == nil {
+		return math.Inf(1)
+	}
+	b.granted.roll(now)
+	return math.Max(0, math.Floor(b.most()-b.granted.sum()))
+}
+
 // Set changes rate and burst. Tokens above the new size are lost.
 func (b *Bucket) Set(rate, burst float64, now time.Time) {
 	if rate == b.rate && burst == b.burst {
 		return
 	}
 	b.fill(now)
+	before := b.most()
 	b.rate, b.burst = rate, burst
-	b.tokens = math.Min(b.tokens, capacity(rate, burst))
+	b.tokens = math.Min(b.tokens, b.size())
+	if b.granted != nil && b.most() < before {
+		// What was granted under the higher rate does not count against the lower one.
+		b.granted.scale(b.most() / before)
+	}
 }
 
 func (b *Bucket) fill(now time.Time) {
@@ -63,7 +111,7 @@
 	if passed <= 0 {
 		return
 	}
-	b.tokens = math.Min(capacity(b.rate, b.burst), b.tokens+b.rate*passed)
+	b.tokens = math.Min(b.size(), b.tokens+b.flow()*passed)
 	b.filled = now
 }
 
@@ -84,11 +132,15 @@
 	if n <= 0 {
 		return Grant{}
 	}
+	room := b.room(now)
+	if room < 1 {
+		return Grant{Retry: max(b.until(1), b.granted.span)}
+	}
 	if b.tokens >= 1 {
-		return b.grant(min(float64(n), math.Floor(b.tokens)), 0)
+		return b.grant(min(float64(n), math.Floor(b.tokens), room), 0)
 	}
 	ahead := math.Max(1, math.Floor(b.rate*grantSpan.Seconds()))
-	k := min(float64(n), ahead)
+	k := min(float64(n), ahead, room)
 	wait := b.until(k)
 	if wait > min(maxWait, MaxWait) {
 		return Grant{Retry: b.until(1)}
@@ -98,19 +150,22 @@
 
 func (b *Bucket) grant(k float64, wait time.Duration) Grant {
 	b.tokens -= k
+	if b.granted != nil {
+		b.granted.add(k)
+	}
 	return Grant{Tokens: int(k), Wait: wait, Lifetime: lifetime(b.rate, b.burst)}
 }
 
 // until returns the time until there are k tokens.
 func (b *Bucket) until(k float64) time.Duration {
-	if b.rate <= 0 {
+	if b.flow() <= 0 {
 		return time.Hour
 	}
-	return time.Duration(math.Max(0, k-b.tokens) / b.rate * float64(time.Second))
+	return time.Duration(math.Max(0, k-b.tokens) / b.flow() * float64(time.Second))
 }
 
 // Return puts tokens back that were granted and not used.
 func (b *Bucket) Return(n int, now time.Time) {
 	b.fill(now)
-	b.tokens = math.Min(capacity(b.rate, b.burst), b.tokens+math.Max(0, float64(n)))
+	b.tokens = math.Min(b.size(), b.tokens+math.Max(0, float64(n)))
 }
--- a/limit/shared.go
+++ b/limit/shared.go
@@ -26,6 +26,12 @@
 	holderPause = 50 * time.Millisecond
 	// maxWaiting bounds the requests of one workspace that wait on one VM.
 	maxWaiting = 512
+	// holderPatience is how long a request waits for the first word of its shard's
+	// holder where the entry may admit by itself. It covers a round trip between
+	// regions.
+	holderPatience = 150 * time.Millisecond
+	// retryHolder is how long a holder that did not answer is not waited for.
+	retryHolder = 500 * time.Millisecond
 	// idleShare is the time after which an unused share is forgotten.
 	idleShare = time.Minute
 )
@@ -53,6 +59,11 @@
 	leases Leases
 	state  func() state.State
 
+	// tolerance is how far a workspace may exceed its rate, and entries the number
+	// of entries that share it.
+	tolerance Tolerance
+	entries   func() int
+
 	mu      sync.Mutex
 	clients map[string]*client
 	buckets map[string]*owned
@@ -73,6 +84,11 @@
 	seq     uint64
 	asked   time.Time // zero if no ask is under way
 	used    time.Time
+	// answered is when the holder was heard last.
+	answered time.Time
+	// silentSince is when an ask was given up last.
+	silentSince time.Time
+	alone       *aloneBucket
 }
 
 // waiter is a request that waits for a token.
@@ -86,9 +102,17 @@
 	return &Shared{
 		vm: vm, clock: c, link: l, leases: leases, state: current,
 		clients: make(map[string]*client), buckets: make(map[string]*owned),
+		entries: func() int { return 1 },
 	}
 }
 
+// WithTolerance lets workspaces exceed their rate as far as operators say, and lets
+// an entry that does not reach the holder of a shard admit its part of that.
+func (s *Shared) WithTolerance(t Tolerance, entries func() int) *Shared {
+	s.tolerance, s.entries = t, entries
+	return s
+}
+
 // String names the implementation.
 func (s *Shared) String() string { return "shared" }
 
@@ -107,11 +131,32 @@
 		s.mu.Unlock()
 		return Admission{RetryAfter: time.Second}
 	}
+	if c.silent(now) && s.tolerance.Window > 0 {
+		defer s.mu.Unlock()
+		s.refill(w.Name, c, now)
+		return s.admitAlone(w, c, now)
+	}
 	one := &waiter{answer: make(chan Admission, 1), until: waitUntil(ctx, now)}
 	c.waiting = append(c.waiting, one)
 	s.refill(w.Name, c, now)
 	s.mu.Unlock()
-	return s.await(ctx, one, now)
+	return s.await(ctx, w, c, one, now)
+}
+
+// silent reports whether the holder has not answered for a while.
+func (c *client) silent(now time.Time) bool {
+	return c.silentSince.After(c.answered) && now.Sub(c.silentSince) < retryHolder
+}
+
+// admitAlone admits a request from this entry's own part of a workspace's rate.
+func (s *Shared) admitAlone(w *state.Workspace, c *client, now time.Time) Admission {
+	if c.alone == nil {
+		c.alone = newAloneBucket(s.tolerance, *w, s.entries(), now)
+	}
+	if c.alone.take(*w, s.entries(), now) {
+		return Admission{OK: true}
+	}
+	return Admission{Unavailable: true, RetryAfter: time.Second}
 }
 
 // waitUntil returns the instant at which a request stops to wait for its token:
@@ -124,24 +169,50 @@
 	return now.Add(limit)
 }
 
-func (s *Shared) await(ctx context.Context, w *waiter, now time.Time) Admission {
-	timer := time.NewTimer(w.until.Sub(now))
+// await waits for a token. Where a tolerance is given, a holder that says nothing is
+// waited for only for a short time.
+func (s *Shared) await(ctx context.Context, w *state.Workspace, c *client, one *waiter, now time.Time) Admission {
+	limit := one.until.Sub(now)
+	first := limit
+	if s.tolerance.Window > 0 {
+		first = min(limit, holderPatience)
+	}
+	timer := time.NewTimer(first)
 	defer timer.Stop()
-	select {
-	case a := <-w.answer:
-		return a
-	case <-timer.C:
-	case <-ctx.Done():
+	for {
+		select {
+		case a := <-one.answer:
+			return a
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		s.mu.Lock()
+		if first < limit && ctx.Err() == nil && !c.answered.Before(now) {
+			// The holder has answered, and the token is to come.
+			first = limit
+			timer.Reset(limit - holderPatience)
+			s.mu.Unlock()
+			continue
+		}
+		defer s.mu.Unlock()
+		return s.giveUp(w, c, one)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+}
+
+// giveUp ends the wait for a token.
+func (s *Shared) giveUp(w *state.Workspace, c *client, one *waiter) Admission {
 	select {
-	case a := <-w.answer: // it came meanwhile
+	case a := <-one.answer: // it came meanwhile
 		return a
 	default:
 	}
-	w.until = time.Time{}
-	return Admission{Unavailable: true, RetryAfter: time.Second}
+	one.until = time.Time{}
+	if s.tolerance.Window <= 0 {
+		return Admission{Unavailable: true, RetryAfter: time.Second}
+	}
+	now := s.clock.Now()
+	c.silentSince = now
+	return s.admitAlone(w, c, now)
 }
 
 func (s *Shared) client(workspace string, now time.Time) *client {
@@ -234,7 +305,7 @@
 func (s *Shared) bucket(w state.Workspace, since, now time.Time) *Bucket {
 	o, ok := s.buckets[w.Name]
 	if !ok || !o.since.Equal(since) {
-		o = &owned{bucket: NewBucket(w.Rate, w.Burst, since.Add(MaxWait)), since: since}
+		o = &owned{bucket: NewBucket(w.Rate, w.Burst, since.Add(MaxWait)).WithTolerance(s.tolerance, now), since: since}
 		s.buckets[w.Name] = o
 	}
 	o.bucket.Set(w.Rate, w.Burst, now)
@@ -256,6 +327,9 @@
 func (s *Shared) take(workspace string, c *client, m *wire.TokenAnswer, now time.Time) {
 	sent := c.asked
 	c.asked = time.Time{}
+	if !m.GetNotHolder() {
+		c.answered = now
+	}
 	if m.GetNotHolder() {
 		c.asked = now.Add(holderPause - askTimeout) // asks again after a pause
 		return
--- a/prog/serve.go
+++ b/prog/serve.go
@@ -311,7 +311,7 @@
 		}
 		if *found.bounds != "" {
 			delay, limit := planStop(bounds.Grace)
-			opts = append(opts, entry.Proxy(platform.Proxy()...), entry.Drain(delay, limit))
+			opts = append(opts, entry.Proxy(platform.Proxy()...), entry.Drain(delay, limit), entry.Tolerance(bounds.Quota))
 		}
 		e := entry.New(sockets, opts...)
 		return p.runUntilStopped(e.Run, settingsWatch{set: set, apply: found.follow(*common.listen, e.SetSeeds)})
