--- a/ctrl/options.go
+++ b/ctrl/options.go
@@ -12,7 +12,9 @@
 )
 
 const (
-	tickPeriod    = 100 * time.Millisecond
+	// tickPeriod is the unit of the log core: elections take 10 to 20 of them, about
+	// ten round trips between regions.
+	tickPeriod    = 50 * time.Millisecond
 	handOverPause = 200 * time.Millisecond
 	workQueue     = 1024
 	inboxQueue    = 4096
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -88,6 +88,16 @@
 	}
 }
 
+// tickFirst asks all control VMs while there is no configuration yet.
+func (f *follower) tickFirst(now time.Time) {
+	if f.entry.State().Index() > 0 {
+		return
+	}
+	for _, vm := range f.sources(now) {
+		f.ask(vm, 0)
+	}
+}
+
 // receiving reports whether parts of a large delta are coming in.
 func (f *follower) receiving(now time.Time) bool {
 	f.mu.Lock()
--- a/entry/options.go
+++ b/entry/options.go
@@ -18,7 +18,9 @@
 )
 
 const (
-	watchPeriod       = 500 * time.Millisecond
+	watchPeriod = 500 * time.Millisecond
+	// firstPeriod is the time between two asks for a first configuration.
+	firstPeriod       = 100 * time.Millisecond
 	limitPeriod       = 25 * time.Millisecond
 	headerTimeout     = 10 * time.Second
 	callersIdle       = 90 * time.Second
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -10,7 +10,7 @@
 	// tickPeriod is the time between two signs of life to a neighbour.
 	tickPeriod = 500 * time.Millisecond
 	// silenceLimit is the silence after which a neighbour is suspected.
-	silenceLimit = 2500 * time.Millisecond
+	silenceLimit = 1600 * time.Millisecond
 	// suspectLimit is the time that a suspected member has to object.
 	suspectLimit = 2 * time.Second
 	// pauseLimit is the time between two ticks after which this process has
--- a/lease/leases.go
+++ b/lease/leases.go
@@ -15,7 +15,7 @@
 
 const (
 	// Period is the time between two rounds of renewals.
-	Period = 500 * time.Millisecond
+	Period = 200 * time.Millisecond
 	// renewAt is the time left of a lease at which it is renewed. Two renewals may
 	// be lost before it ends.
 	renewAt = HeldFor - 2*Period + Period/2
