Send second attempts to proven servers

Cause: a repeatable request that failed at a server that it tried out went to the next doubtful one, and failed again there. Test: TestSecondAttemptsGoToProvenServers failed before.

--- a/pool/desk.go
+++ b/pool/desk.go
@@ -193,7 +193,8 @@
 	if t.DataCentre != a.centre {
 		load += awayWeight
 	}
-	if !a.idempotent {
+	if !a.idempotent || len(a.avoid) > 0 {
+		// A second attempt must not fail too.
 		return gray + load, gray <= trustGray
 	}
 	if gray > probeGray {
--- a/pool/desk_test.go
+++ b/pool/desk_test.go
@@ -203,3 +203,24 @@
 	is.True(seated <= 10)
 	is.True(seated >= 9)
 }
+
+// A repeatable request that failed at a server that it tried out goes to the one
+// that proved sound last, not to the next doubtful one.
+func TestSecondAttemptsGoToProvenServers(t *testing.T) {
+	is := is.New(t)
+	plan := floorPlan{ramp: func(string) *Ramp { return nil }}
+	for _, name := range []string{"old", "proven", "failed", "doubtful"} {
+		plan.targets = append(plan.targets, fleet.Target{Name: name, Slots: 4, Boot: 1})
+	}
+	d := newDesk()
+	for _, target := range plan.targets {
+		d.belief(target, begin)
+	}
+	now := begin.Add(5 * time.Second)
+	d.learn("proven", health.Result{Kind: health.OK}, now)
+	d.learn("failed", health.Result{Kind: health.Failed}, now)
+	a := ask{vm: "e", id: 1, idempotent: true, objective: now.Add(time.Second), deadline: now.Add(time.Second)}
+	is.Equal(d.place(a, plan, now).target, "old") // tries what was not tried for longest
+	a.id, a.avoid = 2, []string{"old"}
+	is.Equal(d.place(a, plan, now).target, "proven")
+}
