Count further attempts at the pool's holder, for the whole fleet

Cause: half of the repeatable requests that failed had no second attempt (91 of them in 32 s: 'the budget of further attempts is used up'). Each entry had a budget of its own for 4 requests a second: empty at the start, and uneven load left some without any while the fleet used a fifth of what is tolerated. Ruled out: max_attempts, and second attempts that fail too (5 of 139).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -93,10 +93,10 @@
 	)
 	e.limits = limit.NewShared(e.options.VM, e.options.Clock, e.link, e.leases, e.State).
 		WithTolerance(e.options.Tolerance, e.MemberCount)
-	e.pools = pool.New(e.link, e.fleet, e.leases,
+	e.pools = pool.New(e.link, e.fleet, e.leases, append([]pool.Option{
 		pool.VM(e.options.VM), pool.DataCentre(e.options.DataCentre), pool.Place(e.options.Placement), pool.State(e.State),
 		pool.Settings(func() []state.Pool { return e.view.Load().Pools }), pool.Clock(e.options.Clock), pool.Line(e.options.Line),
-	)
+	}, e.options.Pools...)...)
 	e.claims = claim.New(e.link,
 		claim.VM(e.options.VM), claim.Voters(func() []string { return e.State().Electors() }),
 		claim.Fresh(e.fresh), claim.Clock(e.options.Clock),
--- a/entry/options.go
+++ b/entry/options.go
@@ -47,6 +47,8 @@
 	WhenCutOff CutOff
 	// Tolerance is how far workspaces may exceed their rate.
 	Tolerance limit.Tolerance
+	// Pools holds further options of the care of the backend servers.
+	Pools []pool.Option
 	// Placement says who chooses the backend servers of requests.
 	Placement pool.Placement
 	Clock     clock.Service
@@ -112,6 +114,11 @@
 // Tolerance sets how far workspaces may exceed their rate.
 func Tolerance(t limit.Tolerance) Option { return func(o *Options) { o.Tolerance = t } }
 
+// Pools adds options of the care of the backend servers.
+func Pools(opts ...pool.Option) Option {
+	return func(o *Options) { o.Pools = append(o.Pools, opts...) }
+}
+
 // Proxy adds options of the proxy.
 func Proxy(opts ...proxy.Option) Option {
 	return func(o *Options) { o.Proxy = append(o.Proxy, opts...) }
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -20,10 +20,16 @@
 // ErrNone means that no backend server may take the request now.
 var ErrNone = errors.New("no backend server may take the request now")
 
+// ErrBudget means that the budget of further attempts is used up.
+var ErrBudget = errors.New("the budget of further attempts is used up")
+
 // Request is what a choice depends on besides the pool.
 type Request struct {
 	// Avoid names backend servers that earlier attempts of the request used.
 	Avoid []string
+	// Withdraw draws on this VM's own budget of further attempts. It is nil for a
+	// first attempt, and not called where somebody counts for the whole fleet.
+	Withdraw func() bool
 	// Idempotent says that the request may run more than once.
 	Idempotent bool
 	// Rank is the urgency, 0 first.
@@ -35,6 +41,10 @@
 	Left time.Duration
 }
 
+// Allowed reports whether the request may be sent, as far as this VM's own budget
+// goes.
+func (r Request) Allowed() bool { return r.Withdraw == nil || r.Withdraw() }
+
 // Choice is a backend server that a request may go to. Done must be called once.
 type Choice struct {
 	Target fleet.Target
--- a/pool/desk.go
+++ b/pool/desk.go
@@ -6,6 +6,7 @@
 
 	"github.com/dottereldeal/dottereldeal/fleet"
 	"github.com/dottereldeal/dottereldeal/health"
+	"github.com/dottereldeal/dottereldeal/retry"
 )
 
 const (
@@ -90,13 +91,16 @@
 	running map[string]int // seats by workspace
 	owners  map[seatKey]string
 	service time.Duration
+	// budget bounds the further attempts of the whole fleet.
+	budget *retry.Budget
 }
 
-func newDesk() *desk {
+func newDesk(budget ...retry.Option) *desk {
 	return &desk{
 		climate: health.NewClimate(), beliefs: make(map[string]health.Belief), boots: make(map[string]uint64),
 		inUse: make(map[string]int), seats: make(map[seatKey]seat),
 		running: make(map[string]int), owners: make(map[seatKey]string), service: firstService,
+		budget: retry.NewBudget(budget...),
 	}
 }
 
@@ -111,6 +115,10 @@
 
 // place gives an ask a server, queues it, or refuses it.
 func (d *desk) place(a ask, plan floorPlan, now time.Time) reply {
+	d.budget.Deposit()
+	if len(a.avoid) > 0 && !d.budget.Withdraw() {
+		return reply{ask: a, retry: leastRetry}
+	}
 	if target, ok := d.choose(a, plan, now); ok {
 		return d.seat(a, target, plan, now)
 	}
--- a/pool/holder.go
+++ b/pool/holder.go
@@ -7,6 +7,7 @@
 
 	"github.com/dottereldeal/dottereldeal/fleet"
 	"github.com/dottereldeal/dottereldeal/health"
+	"github.com/dottereldeal/dottereldeal/retry"
 	"github.com/dottereldeal/dottereldeal/state"
 )
 
@@ -39,9 +40,9 @@
 	return slices.Equal(r.ejected, o.ejected) && slices.Equal(r.cold, o.cold) && maps.Equal(r.warmed, o.warmed)
 }
 
-func newHolder(since time.Time) *holder {
+func newHolder(since time.Time, budget ...retry.Option) *holder {
 	return &holder{
-		since: since, judge: health.NewJudge(), desk: newDesk(),
+		since: since, judge: health.NewJudge(), desk: newDesk(budget...),
 		ramps: make(map[string]*Ramp), warmed: make(map[string]uint64),
 	}
 }
--- a/pool/options.go
+++ b/pool/options.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/dottereldeal/dottereldeal/clock"
 	"github.com/dottereldeal/dottereldeal/event"
+	"github.com/dottereldeal/dottereldeal/retry"
 	"github.com/dottereldeal/dottereldeal/state"
 )
 
@@ -16,8 +17,10 @@
 	DataCentre string
 	// Placement says who chooses the backend servers.
 	Placement Placement
-	Clock     clock.Service
-	Line      *event.Line
+	// Retries changes the budget of further attempts that a holder keeps.
+	Retries []retry.Option
+	Clock   clock.Service
+	Line    *event.Line
 }
 
 // Option changes one setting.
@@ -38,6 +41,14 @@
 // Place sets who chooses the backend servers.
 func Place(by Placement) Option { return func(o *Options) { o.Placement = by } }
 
+// Retries sets the part of a pool's requests that may be tried again, and the number
+// that may be tried again beside it, over the whole fleet.
+func Retries(ratio, slack float64) Option {
+	return func(o *Options) {
+		o.Retries = []retry.Option{retry.Ratio(ratio), retry.Slack(slack, func() int { return 1 })}
+	}
+}
+
 // Clock sets the timer service.
 func Clock(s clock.Service) Option { return func(o *Options) { o.Clock = s } }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -198,7 +198,7 @@
 	}
 	h, ok := p.holders[pool]
 	if !ok || !h.since.Equal(since) {
-		h = newHolder(since)
+		h = newHolder(since, p.options.Retries...)
 		p.holders[pool] = h
 	}
 	return h
--- a/prog/serve.go
+++ b/prog/serve.go
@@ -311,7 +311,8 @@
 		}
 		if *found.bounds != "" {
 			delay, limit := planStop(bounds.Grace)
-			opts = append(opts, entry.Proxy(platform.Proxy()...), entry.Drain(delay, limit), entry.Tolerance(bounds.Quota))
+			opts = append(opts, entry.Proxy(platform.Proxy(bounds)...), entry.Drain(delay, limit), entry.Tolerance(bounds.Quota),
+				entry.Pools(platform.Pools(bounds)...))
 		}
 		e := entry.New(sockets, opts...)
 		return p.runUntilStopped(e.Run, settingsWatch{set: set, apply: found.follow(*common.listen, e.SetSeeds)})
--- a/proxy/log.go
+++ b/proxy/log.go
@@ -41,3 +41,9 @@
 	return append(attrs, slog.Uint64("state", x.view.State.Index()),
 		slog.Duration("age", x.handler.options.Clock.Now().Sub(x.arrived)))
 }
+
+// logNoFurther notes why a request that could be sent again is not.
+func (x *exchange) logNoFurther(reason, why string) {
+	x.handler.options.Logger.LogAttrs(x.request.Context(), slog.LevelInfo, "no further attempt",
+		append(x.attrs(), slog.String("reason", reason), slog.String("detail", why))...)
+}
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -10,6 +10,7 @@
 	"github.com/dottereldeal/dottereldeal/limit"
 	"github.com/dottereldeal/dottereldeal/meter"
 	"github.com/dottereldeal/dottereldeal/pick"
+	"github.com/dottereldeal/dottereldeal/retry"
 	"github.com/dottereldeal/dottereldeal/state"
 )
 
@@ -41,6 +42,8 @@
 	Meter *meter.Meter
 	// Logger gets a line for each decision that ends or repeats a request.
 	Logger *slog.Logger
+	// Retries changes the budget of further attempts.
+	Retries []retry.Option
 	// Entries returns the number of entries that share the backend servers.
 	Entries func() int
 	// KeyHeader, KeyQuery and KeyCookie name where callers put their key. An
@@ -86,6 +89,15 @@
 // Logger sets where decisions about requests are logged.
 func Logger(l *slog.Logger) Option { return func(o *Options) { o.Logger = l } }
 
+// Retries sets the part of the requests that may be tried again, and the number that
+// all entries may try again beside it.
+func Retries(ratio, slack float64) Option {
+	return func(o *Options) {
+		vms := func() int { return o.Entries() }
+		o.Retries = []retry.Option{retry.Ratio(ratio), retry.Slack(slack, vms)}
+	}
+}
+
 // Entries sets the source of the number of entries.
 func Entries(f func() int) Option { return func(o *Options) { o.Entries = f } }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -72,7 +72,7 @@
 		keys:    newKeyReader(o),
 		pools:   newTransports(o.Entries),
 		guard:   newGuard(),
-		budget:  retry.NewBudget(),
+		budget:  retry.NewBudget(o.Retries...),
 		metrics: newMetrics(o.Meter),
 	}
 }
--- a/proxy/try.go
+++ b/proxy/try.go
@@ -63,10 +63,19 @@
 	return nil, t.last
 }
 
+// withdraw returns what draws on the budget for a further attempt, or nil for the
+// first one.
+func (x *exchange) withdraw(used []string) func() bool {
+	if len(used) == 0 {
+		return nil
+	}
+	return x.handler.budget.Withdraw
+}
+
 // pickRequest describes the request to whoever chooses its backend server.
 func (x *exchange) pickRequest(used []string, limit *deadline) pick.Request {
 	r := pick.Request{
-		Avoid: used, Idempotent: x.route.Idempotent, Rank: x.route.Rank, Left: limit.left(),
+		Avoid: used, Withdraw: x.withdraw(used), Idempotent: x.route.Idempotent, Rank: x.route.Rank, Left: limit.left(),
 		Objective: time.Duration(x.route.Objective) - x.handler.options.Clock.Now().Sub(x.arrived),
 	}
 	if x.workspace != nil {
@@ -202,10 +211,8 @@
 
 // startFurther starts an attempt that draws on the budget.
 func (t *trial) startFurther(ctx context.Context, reason string) bool {
-	if !t.exchange.handler.budget.Withdraw() {
-		return false
-	}
-	if t.start(ctx) != nil {
+	if err := t.start(ctx); err != nil {
+		t.exchange.logNoFurther(reason, err.Error())
 		return false
 	}
 	t.exchange.handler.metrics.retries.WithLabelValues(reason).Inc()
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -12,13 +12,16 @@
 const (
 	defaultRatio   = 0.1
 	defaultReserve = 10
+	// slackPart is the part of a fleet's slack that is used: the number of VMs is
+	// not known exactly.
+	slackPart = 0.7
 )
 
 // Budget allows a number of further attempts in proportion to first ones, so
 // that retries never multiply the load of an outage.
 type Budget struct {
 	ratio   float64
-	reserve float64
+	reserve func() float64
 
 	mu     sync.Mutex
 	tokens float64
@@ -31,11 +34,20 @@
 func Ratio(r float64) Option { return func(b *Budget) { b.ratio = r } }
 
 // Reserve sets the number of further attempts that can be saved up.
-func Reserve(n float64) Option { return func(b *Budget) { b.reserve = n } }
+func Reserve(n float64) Option { return func(b *Budget) { b.reserve = func() float64 { return n } } }
 
-// NewBudget returns an empty budget.
+// Slack lets the VMs of a fleet try again n times together beside the ratio. Each
+// of them has its part of that from the start, and one further attempt at least.
+func Slack(n float64, vms func() int) Option {
+	return func(b *Budget) {
+		b.reserve = func() float64 { return max(1, slackPart*n/float64(max(1, vms()))) }
+		b.tokens = b.reserve()
+	}
+}
+
+// NewBudget returns a budget, which is empty unless there is a slack.
 func NewBudget(opts ...Option) *Budget {
-	b := &Budget{ratio: defaultRatio, reserve: defaultReserve}
+	b := &Budget{ratio: defaultRatio, reserve: func() float64 { return defaultReserve }}
 	for _, opt := range opts {
 		opt(b)
 	}
@@ -46,7 +58,7 @@
 func (b *Budget) Deposit() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.reserve, b.tokens+b.ratio)
+	b.tokens = min(b.reserve(), b.tokens+b.ratio)
 }
 
 // Withdraw takes one further attempt and reports whether there was one.
