--- a/pick/pick.go
+++ b/pick/pick.go
@@ -27,9 +27,6 @@
 type Request struct {
 	// Avoid names backend servers that earlier attempts of the request used.
 	Avoid []string
-	// Withdraw draws on this VM's own budget of further attempts. It is nil for a
-	// first attempt, and not called where somebody counts for the whole fleet.
-	Withdraw func() bool
 	// Idempotent says that the request may run more than once.
 	Idempotent bool
 	// Rank is the urgency, 0 first.
@@ -41,14 +38,13 @@
 	Left time.Duration
 }
 
-// Allowed reports whether the request may be sent, as far as this VM's own budget
-// goes.
-func (r Request) Allowed() bool { return r.Withdraw == nil || r.Withdraw() }
-
 // Choice is a backend server that a request may go to. Done must be called once.
 type Choice struct {
 	Target fleet.Target
 	Done   func(health.Result)
+	// Counted says that a further attempt has been counted for the whole fleet.
+	// Otherwise it draws on the budget of this VM.
+	Counted bool
 }
 
 // Picker chooses backend servers.
--- a/pick/robin.go
+++ b/pick/robin.go
@@ -55,9 +55,6 @@
 
 // Pick returns the next backend server of the pool.
 func (r *RoundRobin) Pick(_ context.Context, pool string, req Request) (Choice, error) {
-	if !req.Allowed() {
-		return Choice{}, ErrBudget
-	}
 	s := r.state()
 	targets := Eligible(r.directory().Pool(pool), s)
 	r.mu.Lock()
--- a/pool/choose.go
+++ b/pool/choose.go
@@ -24,9 +24,6 @@
 	if choice, err, ok := p.askDesk(ctx, pool, r); ok {
 		return choice, err
 	}
-	if !r.Allowed() {
-		return pick.Choice{}, pick.ErrBudget
-	}
 	ctx, cancel := context.WithTimeout(ctx, permitWait)
 	defer cancel()
 	for {
--- a/pool/seat.go
+++ b/pool/seat.go
@@ -144,6 +144,7 @@
 		p.mu.Lock()
 		choice := p.choose(p.member(pool), t, false, p.options.Clock.Now())
 		p.mu.Unlock()
+		choice.Counted = true
 		finish := choice.Done
 		choice.Done = func(r health.Result) {
 			finish(r)
--- a/proxy/try.go
+++ b/proxy/try.go
@@ -63,19 +63,10 @@
 	return nil, t.last
 }
 
-// withdraw returns what draws on the budget for a further attempt, or nil for the
-// first one.
-func (x *exchange) withdraw(used []string) func() bool {
-	if len(used) == 0 {
-		return nil
-	}
-	return x.handler.budget.Withdraw
-}
-
 // pickRequest describes the request to whoever chooses its backend server.
 func (x *exchange) pickRequest(used []string, limit *deadline) pick.Request {
 	r := pick.Request{
-		Avoid: used, Withdraw: x.withdraw(used), Idempotent: x.route.Idempotent, Rank: x.route.Rank, Left: limit.left(),
+		Avoid: used, Idempotent: x.route.Idempotent, Rank: x.route.Rank, Left: limit.left(),
 		Objective: time.Duration(x.route.Objective) - x.handler.options.Clock.Now().Sub(x.arrived),
 	}
 	if x.workspace != nil {
@@ -104,6 +95,10 @@
 	if err != nil {
 		return err
 	}
+	if len(t.used) > 0 && !choice.Counted && !t.exchange.handler.budget.Withdraw() {
+		choice.Done(health.Result{Kind: health.Cancelled})
+		return pick.ErrBudget
+	}
 	t.used = append(t.used, choice.Target.Name)
 	t.running++
 	number := len(t.cancels)
