Leave room in the budget for entries that choose alone

The holder gave 0.18 of the requests and its slack, and while the core was killed and holders changed the entries drew on their own budgets beside it. Ruled out: hedges and sheds that nobody counts; they draw on the desk too. Test: budgets of two holders and 40 entries together.

--- a/pool/desk_test.go
+++ b/pool/desk_test.go
@@ -246,3 +246,34 @@
 	is.True(further >= 42)       // the slack is there from the start
 	is.True(further <= 60+500/5) // and the bound holds
 }
+
+// Half of the servers shed everything, a holder is replaced, and entries choose
+// alone in between: all further attempts together stay inside the users' bound.
+func TestBudgetsOfHoldersAndEntriesTogetherKeepTheBound(t *testing.T) {
+	const (
+		entries  = 40
+		requests = 2886 // in one window of 10 s
+		alone    = 10   // one in so many requests comes while there is no holder
+		ratio    = 0.2
+		slack    = 60.0
+	)
+	given := 0
+	drain := func(b *retry.Budget, requests int) {
+		for range requests {
+			b.Deposit()
+			for b.Withdraw() {
+				given++
+			}
+		}
+	}
+	for range 2 { // the first holder, and the one after it
+		drain(retry.NewBudget(retry.Ratio(0.75*ratio), retry.Slack(slack, func() int { return 1 })), requests/2)
+	}
+	for range entries {
+		b := retry.NewBudget(retry.Ratio(0.75*ratio), retry.Slack(slack, func() int { return entries }))
+		drain(b, requests/alone/entries)
+	}
+	if limit := ratio*requests + slack; float64(given) > limit {
+		t.Errorf("%d further attempts, %.0f allowed", given, limit)
+	}
+}
