Keep connections for four seconds, and place requests by way as well

Weighed: a lost request on a kept connection costs about twenty connections. net/http sends none of these bodies again by itself, and servers state 10 s. Test: TestOpenConnectionsAndTheOwnDataCentreArePreferred.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -32,6 +32,8 @@
 	// Rank is the urgency, 0 first.
 	Rank      int
 	Workspace string
+	// Bytes is the size of the request's body, if it is known.
+	Bytes int64
 	// Objective is the time until the answer loses worth, 0 if it never does.
 	Objective time.Duration
 	// Left is the time until the request is given up, 0 if the context says so.
--- a/pool/desk.go
+++ b/pool/desk.go
@@ -24,8 +24,16 @@
 	// loadWeight turns the part of a server's slots in use into probability: how
 	// much risk an empty server is worth.
 	loadWeight = 0.02
-	// awayWeight is the same for a server in another data centre.
-	awayWeight = 0.004
+	// awayWeight is the same for a server in another data centre, and awayByteWeight
+	// for each byte that has to go there, up to mostAwayWeight.
+	awayWeight     = 0.004
+	awayByteWeight = 1.5e-6
+	mostAwayWeight = 0.1
+	// openWeight is the same for a server to which the entry has no connection open.
+	openWeight = 0.03
+	// staleness turns such a weight into the age of a server's last result, for
+	// requests that look for the oldest.
+	staleness = 15 * time.Second
 	// firstService is the time that a request takes before any answer is known.
 	firstService = 200 * time.Millisecond
 	// serviceWeight is the weight of one answer in the usual service time.
@@ -47,6 +55,8 @@
 	objective time.Time
 	deadline  time.Time
 	avoid     []string
+	// bytes is the size of the request's body.
+	bytes int64
 }
 
 // seatKey names an ask.
@@ -55,6 +65,11 @@
 	id uint64
 }
 
+// visit names an entry and a server.
+type visit struct {
+	vm, target string
+}
+
 func (a ask) key() seatKey { return seatKey{a.vm, a.id} }
 
 // seat is a slot in use.
@@ -91,6 +106,8 @@
 	running map[string]int // seats by workspace
 	owners  map[seatKey]string
 	service time.Duration
+	// visits is when an entry's last request at a server ended.
+	visits map[visit]time.Time
 	// budget bounds the further attempts of the whole fleet.
 	budget *retry.Budget
 }
@@ -99,6 +116,7 @@
 	return &desk{
 		climate: health.NewClimate(), beliefs: make(map[string]health.Belief), boots: make(map[string]uint64),
 		inUse: make(map[string]int), seats: make(map[seatKey]seat),
+		visits:  make(map[visit]time.Time),
 		running: make(map[string]int), owners: make(map[seatKey]string), service: firstService,
 		budget: retry.NewBudget(budget...),
 	}
@@ -111,6 +129,8 @@
 	shunned []string
 	// ramp returns the ramp of a server that is cold, or nil.
 	ramp func(name string) *Ramp
+	// keep is how long entries keep idle connections; 0 if they do not.
+	keep time.Duration
 }
 
 // place gives an ask a server, queues it, or refuses it.
@@ -197,10 +217,7 @@
 	if slices.Contains(plan.shunned, t.Name) {
 		gray = max(gray, 1-gray)
 	}
-	load := loadWeight * float64(d.inUse[t.Name]) / float64(max(1, t.Slots))
-	if t.DataCentre != a.centre {
-		load += awayWeight
-	}
+	load := loadWeight*float64(d.inUse[t.Name])/float64(max(1, t.Slots)) + d.way(a, t, plan, now)
 	if !a.idempotent || len(a.avoid) > 0 {
 		// A second attempt must not fail too.
 		return gray + load, gray <= trustGray
@@ -208,7 +225,20 @@
 	if gray > probeGray {
 		return 0, false
 	}
-	return load - b.Age(now).Seconds() - d.novelty(b), true
+	return load*staleness.Seconds() - b.Age(now).Seconds() - d.novelty(b), true
+}
+
+// way returns what it costs to get a request to a server: another data centre, and
+// a connection that is not open yet.
+func (d *desk) way(a ask, t fleet.Target, plan floorPlan, now time.Time) float64 {
+	cost := 0.0
+	if t.DataCentre != a.centre {
+		cost += min(awayWeight+awayByteWeight*float64(a.bytes), mostAwayWeight)
+	}
+	if plan.keep > 0 && now.Sub(d.visits[visit{a.vm, t.Name}]) >= plan.keep {
+		cost += openWeight
+	}
+	return cost
 }
 
 // novelty prefers a server that nothing is known of.
@@ -263,6 +293,9 @@
 		return
 	}
 	d.release(key, s)
+	if r.Kind == health.OK || r.Kind == health.Failed {
+		d.visits[visit{key.vm, s.target}] = now
+	}
 	if ramp := plan.ramp(s.target); s.ramping && ramp != nil {
 		ramp.Done(r.Kind == health.OK, now)
 	}
@@ -303,6 +336,11 @@
 		}
 	}
 	d.forget(plan.targets)
+	for v, at := range d.visits {
+		if now.Sub(at) > plan.keep {
+			delete(d.visits, v)
+		}
+	}
 	return d.serve(plan, now)
 }
 
--- a/pool/desk_test.go
+++ b/pool/desk_test.go
@@ -277,3 +277,23 @@
 		t.Errorf("%d further attempts, %.0f allowed", given, limit)
 	}
 }
+
+// Opening a connection is dear to the servers, and a body that goes to another data
+// centre is dear to the network: both count where servers are equally sound.
+func TestOpenConnectionsAndTheOwnDataCentreArePreferred(t *testing.T) {
+	is := is.New(t)
+	plan := floorPlan{keep: 4 * time.Second, ramp: func(string) *Ramp { return nil }}
+	for i, centre := range []string{"far", "near", "near"} {
+		plan.targets = append(plan.targets, fleet.Target{Name: fmt.Sprint("s", i), DataCentre: centre, Slots: 4, Boot: 1})
+	}
+	d := newDesk()
+	a := ask{vm: "e", id: 1, centre: "near", bytes: 60_000, objective: begin.Add(time.Second), deadline: begin.Add(time.Second)}
+	first := d.place(a, plan, begin).target
+	is.True(first != "s0")
+	d.done(a.key(), health.Result{Kind: health.OK, Latency: time.Millisecond}, plan, begin)
+	a.id = 2
+	is.Equal(d.place(a, plan, begin.Add(time.Second)).target, first)
+	d.learn(first, health.Result{Kind: health.Failed}, begin.Add(time.Second))
+	a.id = 3
+	is.True(d.place(a, plan, begin.Add(time.Second)).target != first) // soundness goes first
+}
--- a/pool/options.go
+++ b/pool/options.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"time"
+
 	"github.com/dottereldeal/dottereldeal/clock"
 	"github.com/dottereldeal/dottereldeal/event"
 	"github.com/dottereldeal/dottereldeal/retry"
@@ -17,6 +19,8 @@
 	DataCentre string
 	// Placement says who chooses the backend servers.
 	Placement Placement
+	// KeepConnections is how long entries keep idle connections to backend servers.
+	KeepConnections time.Duration
 	// Retries changes the budget of further attempts that a holder keeps.
 	Retries []retry.Option
 	Clock   clock.Service
@@ -49,6 +53,9 @@
 	}
 }
 
+// KeepConnections sets how long entries keep idle connections to backend servers.
+func KeepConnections(d time.Duration) Option { return func(o *Options) { o.KeepConnections = d } }
+
 // Clock sets the timer service.
 func Clock(s clock.Service) Option { return func(o *Options) { o.Clock = s } }
 
--- a/pool/seat.go
+++ b/pool/seat.go
@@ -101,7 +101,7 @@
 	return &wire.SlotAsk{
 		Pool: pool, Id: id, Idempotent: r.Idempotent, Rank: uint32(max(0, r.Rank)), Workspace: r.Workspace,
 		ObjectiveMicros: uint64(max(0, objective).Microseconds()), DeadlineMicros: uint64(max(0, left).Microseconds()),
-		Avoid: r.Avoid,
+		Avoid: r.Avoid, Bytes: uint64(max(0, r.Bytes)),
 	}
 }
 
@@ -181,7 +181,7 @@
 	}
 	a := ask{
 		vm: vm, id: m.GetId(), centre: centre, idempotent: m.GetIdempotent(), rank: int(m.GetRank()),
-		workspace: m.GetWorkspace(), avoid: m.GetAvoid(),
+		workspace: m.GetWorkspace(), avoid: m.GetAvoid(), bytes: int64(m.GetBytes()),
 		objective: now.Add(time.Duration(m.GetObjectiveMicros()) * time.Microsecond),
 		deadline:  now.Add(time.Duration(m.GetDeadlineMicros()) * time.Microsecond),
 	}
@@ -191,7 +191,7 @@
 // floorPlan returns what a desk knows of the backend servers of its pool.
 func (p *Pools) floorPlan(pool string, h *holder, now time.Time) floorPlan {
 	settings, _ := state.Get[state.Pool](p.options.State(), pool)
-	plan := floorPlan{targets: p.eligible(pool), ramp: func(name string) *Ramp { return h.ramps[name] }}
+	plan := floorPlan{targets: p.eligible(pool), keep: p.options.KeepConnections, ramp: func(name string) *Ramp { return h.ramps[name] }}
 	for _, t := range plan.targets {
 		h.noteCold(t, settings)
 	}
--- a/prog/serve.go
+++ b/prog/serve.go
@@ -276,6 +276,7 @@
 	grace := set.Duration("key-grace", "time that a running request may outlive its key", conf.Default("2s"))
 	cutOff := conf.Var(set, "when-cut-off", "what to do while cut off from control and the other entries: stop or serve", parseCutOff, conf.Default("stop"))
 	place := conf.Var(set, "placement", "who chooses the backend servers: local (every entry) or holder (one for all)", parsePlacement, conf.Default("local"))
+	keep := conf.Var(set, "keep-connections", "how long an idle connection to a backend server may serve a request that must run once; 0s for fresh ones", time.ParseDuration, conf.Default("0s"))
 	return func(set *conf.Set, s streams) int {
 		if len(*control)+len(*found.seeds) == 0 {
 			set.Add("--control", "is required where there are no --seeds")
@@ -308,6 +309,7 @@
 			entry.Identity(identity), entry.CallersIdentity(callersIdentity),
 			entry.KeyPlaces(*keyHeader, *keyQuery, *keyCookie),
 			entry.Drain(*drainDelay, *drainLimit), entry.Grace(*grace), entry.WhenCutOff(*cutOff), entry.Placement(*place),
+			entry.Proxy(proxy.KeepConnections(*keep)), entry.Pools(pool.KeepConnections(*keep)),
 		}
 		if *found.bounds != "" {
 			delay, limit := planStop(bounds.Grace)
--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -70,6 +70,9 @@
 // transports holds the connections to every backend server.
 type transports struct {
 	entries func() int
+	// keep is how long idle connections are kept where requests that must run once
+	// use them too; 0 if they do not.
+	keep time.Duration
 
 	mu      sync.Mutex
 	targets map[string]*targetTransport
@@ -84,8 +87,8 @@
 	fresh *http.Transport
 }
 
-func newTransports(entries func() int) *transports {
-	return &transports{entries: entries, targets: make(map[string]*targetTransport)}
+func newTransports(entries func() int, keep time.Duration) *transports {
+	return &transports{entries: entries, keep: keep, targets: make(map[string]*targetTransport)}
 }
 
 // of returns the connections to a backend server.
@@ -102,6 +105,13 @@
 	limit := t.connectionLimit(target)
 	known = &targetTransport{addr: target.Addr, reused: newTransport(limit), fresh: newTransport(limit)}
 	known.fresh.DisableKeepAlives = true
+	if t.keep > 0 {
+		// One set of connections for all requests, given up well before the backend
+		// server closes them: a request that crosses the close may be lost.
+		known.reused = newTransport(2 * limit)
+		known.reused.IdleConnTimeout = t.keep
+		known.fresh = known.reused
+	}
 	t.targets[target.Name] = known
 	return known
 }
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -42,6 +42,9 @@
 	Meter *meter.Meter
 	// Logger gets a line for each decision that ends or repeats a request.
 	Logger *slog.Logger
+	// KeepConnections is how long an idle connection to a backend server may be used
+	// again by a request that must run once; 0 takes a fresh one for each.
+	KeepConnections time.Duration
 	// Retries changes the budget of further attempts.
 	Retries []retry.Option
 	// Entries returns the number of entries that share the backend servers.
@@ -89,6 +92,10 @@
 // Logger sets where decisions about requests are logged.
 func Logger(l *slog.Logger) Option { return func(o *Options) { o.Logger = l } }
 
+// KeepConnections sets how long an idle connection may be used again by a request
+// that must run once.
+func KeepConnections(d time.Duration) Option { return func(o *Options) { o.KeepConnections = d } }
+
 // Retries sets the part of the requests that may be tried again, and the number that
 // all entries may try again beside it.
 func Retries(ratio, slack float64) Option {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -70,7 +70,7 @@
 	return &Handler{
 		options: o,
 		keys:    newKeyReader(o),
-		pools:   newTransports(o.Entries),
+		pools:   newTransports(o.Entries, o.KeepConnections),
 		guard:   newGuard(),
 		budget:  retry.NewBudget(o.Retries...),
 		metrics: newMetrics(o.Meter),
--- a/proxy/try.go
+++ b/proxy/try.go
@@ -66,7 +66,7 @@
 // pickRequest describes the request to whoever chooses its backend server.
 func (x *exchange) pickRequest(used []string, limit *deadline) pick.Request {
 	r := pick.Request{
-		Avoid: used, Idempotent: x.route.Idempotent, Rank: x.route.Rank, Left: limit.left(),
+		Avoid: used, Idempotent: x.route.Idempotent, Rank: x.route.Rank, Left: limit.left(), Bytes: x.body.length,
 		Objective: time.Duration(x.route.Objective) - x.handler.options.Clock.Now().Sub(x.arrived),
 	}
 	if x.workspace != nil {
