Read the ledger after waiting for the confirmed index, not before

Cause: Current returned c.Ledger() beside the call that waits, and Go evaluates the ledger first. Ruled out: the leader's own reads (a round of answers is needed) and answers to earlier questions (numbers are unique in a process). Change: wait first. Test: TestReadsAtAReplicaThatIsBehind... failed before with version 7 for 8.

--- a/ctrl/group_test.go
+++ b/ctrl/group_test.go
@@ -362,3 +362,22 @@
 	_, err := c.nodes[4].Current(ctx)
 	is.True(err != nil)
 }
+
+// A replica that is behind, such as one that stood still, must not answer a read
+// with what it held before it caught up.
+func TestReadsAtAReplicaThatIsBehindWaitUntilItHasCaughtUp(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCrew(t)
+	c.start(true, c.all()...)
+	c.await("a whole group", 4*time.Second, func() bool { return c.whole(crewSize) })
+	c.propose(0, planOf(7, 1))
+	leader := c.leader()
+	slow := (leader + 1) % crewSize
+	is.Equal(c.read(slow), uint64(7))
+	const pause = 400 * time.Millisecond // shorter than an election
+	go c.nodes[slow].do(context.Background(), func() { time.Sleep(pause) })
+	time.Sleep(pause / 8)
+	c.propose(leader, planOf(8, 1))
+	is.Equal(c.read(slow), uint64(8))
+}
--- a/ctrl/propose.go
+++ b/ctrl/propose.go
@@ -76,7 +76,10 @@
 	if err != nil {
 		return ledger.Ledger{}, err
 	}
-	return c.Ledger(), c.awaitApplied(ctx, index)
+	if err := c.awaitApplied(ctx, index); err != nil {
+		return ledger.Ledger{}, err
+	}
+	return c.Ledger(), nil
 }
 
 // confirm returns an index that includes every ticket accepted before the call,
