Serve on while stopping, and hand duties over first

It kept the leases of its shards to the end, so that workspaces and pools had no holder for a lease after it. Ruled out: the balancer; it looks once a second and needs two misses.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -104,7 +104,7 @@
 	e.vouch = newVoucher(e)
 	e.sync = newFollower(e)
 	e.proxy = proxy.New(append([]proxy.Option{
-		proxy.Views(e.view.Load), proxy.Serving(e.Ready), proxy.Clock(e.options.Clock),
+		proxy.Views(e.view.Load), proxy.Serving(e.usable), proxy.Clock(e.options.Clock),
 		proxy.Limiter(e.limits),
 		proxy.Picker(e.picker()), proxy.Claim(e.claims.Claim),
 		proxy.Entries(func() int { return len(e.fleet.Members()) }),
@@ -151,6 +151,12 @@
 	if e.stopping.Load() {
 		return ErrStopping
 	}
+	return e.usable()
+}
+
+// usable returns why no request may be served by the configuration on this VM, or
+// nil. A planned stop is no reason: callers that do not know of it yet are served.
+func (e *Entry) usable() error {
 	if e.options.WhenCutOff == CutOffServe {
 		return e.started()
 	}
@@ -295,6 +301,8 @@
 func (e *Entry) stop() {
 	e.options.Line.Record(event.Stopping, "entry", "")
 	e.stopping.Store(true)
+	e.fleet.Drain()
+	e.leases.Stop()
 	time.Sleep(e.options.DrainDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), e.options.DrainLimit)
 	defer cancel()
@@ -303,7 +311,6 @@
 			s.Close()
 		}
 	}
-	e.leases.Stop()
 	e.fleet.Leave()
 	e.proxy.Close()
 	time.Sleep(leavePause)
--- a/entry/status.go
+++ b/entry/status.go
@@ -104,3 +104,6 @@
 	_, held := e.leases.Held(name)
 	return held
 }
+
+// Held returns the names of the leases that this VM holds.
+func (e *Entry) Held() []string { return e.leases.Names() }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -157,6 +157,14 @@
 	return true
 }
 
+// Drain tells the others that this entry is about to stop and takes no new duties.
+func (f *Fleet) Drain() {
+	f.step(func(now time.Time) {
+		f.core.self = f.core.self.WithDraining()
+		f.core.put(f.core.self.item(), "", now)
+	})
+}
+
 // Leave tells the neighbours that this entry goes on purpose, and stops.
 func (f *Fleet) Leave() {
 	f.stop()
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -33,6 +33,8 @@
 	// Boot and Incarnation order the member's own statements.
 	Boot        uint64
 	Incarnation uint64
+	// Draining says that the member is about to stop and takes no new duties.
+	Draining bool
 }
 
 // Here reports whether the member takes part in the fleet.
@@ -44,9 +46,19 @@
 	return m
 }
 
+// Fit reports whether the member can take duties for the fleet.
+func (m Member) Fit() bool { return m.Condition == Alive && !m.Draining }
+
+// WithDraining returns the member as one that is about to stop, in a new incarnation.
+func (m Member) WithDraining() Member {
+	m.Draining = true
+	m.Incarnation++
+	return m
+}
+
 // item returns the member as an item.
 func (m Member) item() Item {
-	body, _ := proto.Marshal(&wire.Member{Addr: m.Addr, DataCentre: m.DataCentre, State: string(m.Condition)})
+	body, _ := proto.Marshal(&wire.Member{Addr: m.Addr, DataCentre: m.DataCentre, State: string(m.Condition), Draining: m.Draining})
 	count := m.Incarnation*ranksPerIncarnation + conditionRanks[m.Condition]
 	return Item{
 		Key: Key{KindMember, m.VM}, Version: Version{m.Boot, count}, Body: body,
@@ -63,7 +75,7 @@
 	m := Member{
 		VM: i.Key.Name, Addr: body.GetAddr(), DataCentre: body.GetDataCentre(),
 		Condition: Condition(body.GetState()),
-		Boot:      i.Version.Boot, Incarnation: i.Version.Count / ranksPerIncarnation,
+		Boot:      i.Version.Boot, Incarnation: i.Version.Count / ranksPerIncarnation, Draining: body.GetDraining(),
 	}
 	rank, ok := conditionRanks[m.Condition]
 	return m, ok && rank == i.Version.Count%ranksPerIncarnation
--- a/lease/leases.go
+++ b/lease/leases.go
@@ -123,7 +123,7 @@
 	var vms []string
 	boots := make(map[string]uint64)
 	for _, m := range l.fleet.Members() {
-		if m.Condition == fleet.Alive {
+		if m.Fit() {
 			vms = append(vms, m.VM)
 			boots[m.VM] = m.Boot
 		}
--- a/local/options.go
+++ b/local/options.go
@@ -63,3 +63,8 @@
 }
 
 func (o Options) centre(i int) string { return o.Centres[i%len(o.Centres)] }
+
+// Drain sets the delay and the limit of planned stops of entries.
+func Drain(delay, limit time.Duration) Option {
+	return func(o *Options) { o.DrainDelay, o.DrainLimit = delay, limit }
+}
