--- a/pool/desk.go
+++ b/pool/desk.go
@@ -122,8 +122,8 @@
 	}
 }
 
-// floor is what the desk knows of the servers when it places requests.
-type floorPlan struct {
+// deskView is what a desk is told of the servers when it places requests.
+type deskView struct {
 	targets []fleet.Target
 	// shunned are servers that must not be used unless there are no others.
 	shunned []string
@@ -134,7 +134,7 @@
 }
 
 // place gives an ask a server, queues it, or refuses it.
-func (d *desk) place(a ask, plan floorPlan, now time.Time) reply {
+func (d *desk) place(a ask, plan deskView, now time.Time) reply {
 	d.budget.Deposit()
 	if len(a.avoid) > 0 && !d.budget.Withdraw() {
 		return reply{ask: a, retry: leastRetry}
@@ -150,26 +150,8 @@
 	return reply{ask: a, queued: true}
 }
 
-// lastResort sends an ask that cannot wait to any server with room, however doubtful,
-// or refuses it.
-func (d *desk) lastResort(a ask, retry time.Duration, plan floorPlan, now time.Time) reply {
-	best, found := fleet.Target{}, false
-	for _, t := range plan.targets {
-		if !d.room(t, plan, now) || slices.Contains(a.avoid, t.Name) {
-			continue
-		}
-		if !found || d.belief(t, now).At(d.climate, now) < d.belief(best, now).At(d.climate, now) {
-			best, found = t, true
-		}
-	}
-	if !found || !now.Before(a.deadline) {
-		return reply{ask: a, retry: retry}
-	}
-	return d.seat(a, best, plan, now)
-}
-
 // seat takes a slot for an ask.
-func (d *desk) seat(a ask, target fleet.Target, plan floorPlan, now time.Time) reply {
+func (d *desk) seat(a ask, target fleet.Target, plan deskView, now time.Time) reply {
 	s := seat{target: target.Name, until: a.deadline.Add(lostAfter)}
 	if r := plan.ramp(target.Name); r != nil {
 		s.ramping = true
@@ -182,87 +164,9 @@
 	return reply{ask: a, target: target.Name}
 }
 
-// choose returns the server for an ask, if one has room.
-func (d *desk) choose(a ask, plan floorPlan, now time.Time) (fleet.Target, bool) {
-	best, found := fleet.Target{}, false
-	bestCost := 0.0
-	for _, t := range plan.targets {
-		if !d.room(t, plan, now) || slices.Contains(a.avoid, t.Name) {
-			continue
-		}
-		cost, usable := d.cost(a, t, plan, now)
-		if usable && (!found || cost < bestCost) {
-			best, bestCost, found = t, cost, true
-		}
-	}
-	return best, found
-}
-
-// room reports whether a server has a free slot.
-func (d *desk) room(t fleet.Target, plan floorPlan, now time.Time) bool {
-	if d.inUse[t.Name] >= t.Slots {
-		return false
-	}
-	r := plan.ramp(t.Name)
-	return r == nil || r.Free(now)
-}
-
-// cost returns how bad a choice is: the probability that the request fails, and
-// something for the load. A request that may be repeated looks for the server
-// whose last result is oldest instead, so that gray ones are found by requests
-// that lose nothing.
-func (d *desk) cost(a ask, t fleet.Target, plan floorPlan, now time.Time) (cost float64, usable bool) {
-	b := d.belief(t, now)
-	gray := b.At(d.climate, now)
-	if slices.Contains(plan.shunned, t.Name) {
-		gray = max(gray, 1-gray)
-	}
-	load := loadWeight*float64(d.inUse[t.Name])/float64(max(1, t.Slots)) + d.way(a, t, plan, now)
-	if !a.idempotent || len(a.avoid) > 0 {
-		// A second attempt must not fail too.
-		return gray + load, gray <= trustGray
-	}
-	if gray > probeGray {
-		return 0, false
-	}
-	return load*staleness.Seconds() - b.Age(now).Seconds() - d.novelty(b), true
-}
-
-// way returns what it costs to get a request to a server: another data centre, and
-// a connection that is not open yet.
-func (d *desk) way(a ask, t fleet.Target, plan floorPlan, now time.Time) float64 {
-	cost := 0.0
-	if t.DataCentre != a.centre {
-		cost += min(awayWeight+awayByteWeight*float64(a.bytes), mostAwayWeight)
-	}
-	if plan.keep > 0 && now.Sub(d.visits[visit{a.vm, t.Name}]) >= plan.keep {
-		cost += openWeight
-	}
-	return cost
-}
-
-// novelty prefers a server that nothing is known of.
-func (d *desk) novelty(b health.Belief) float64 {
-	if b.Tried {
-		return 0
-	}
-	return 1
-}
-
-// belief returns the belief in a server. A server that has started again is not
-// the one that was known.
-func (d *desk) belief(t fleet.Target, now time.Time) health.Belief {
-	b, ok := d.beliefs[t.Name]
-	if !ok || d.boots[t.Name] != t.Boot {
-		b = health.NewBelief(d.climate, now)
-		d.beliefs[t.Name], d.boots[t.Name] = b, t.Boot
-	}
-	return b
-}
-
 // wait returns how long an ask that finds no room would wait, and whether it could
 // still be answered in time.
-func (d *desk) wait(a ask, plan floorPlan, now time.Time) (time.Duration, bool) {
+func (d *desk) wait(a ask, plan deskView, now time.Time) (time.Duration, bool) {
 	slots := 0
 	for _, t := range plan.targets {
 		if d.belief(t, now).At(d.climate, now) <= trustGray {
@@ -286,7 +190,7 @@
 
 // done takes a slot back, or an ask out of the queue. An empty kind means that the
 // request was not sent.
-func (d *desk) done(key seatKey, r health.Result, plan floorPlan, now time.Time) {
+func (d *desk) done(key seatKey, r health.Result, plan deskView, now time.Time) {
 	s, seated := d.seats[key]
 	if !seated {
 		d.queue = slices.DeleteFunc(d.queue, func(a ask) bool { return a.key() == key })
@@ -329,7 +233,7 @@
 
 // tick returns what the desk has to say by itself: servers for the asks that wait,
 // and refusals for those that can no longer be answered in time.
-func (d *desk) tick(plan floorPlan, now time.Time) []reply {
+func (d *desk) tick(plan deskView, now time.Time) []reply {
 	for key, s := range d.seats {
 		if now.After(s.until) {
 			d.release(key, s)
@@ -355,7 +259,7 @@
 }
 
 // serve places the asks that wait, as far as there is room.
-func (d *desk) serve(plan floorPlan, now time.Time) []reply {
+func (d *desk) serve(plan deskView, now time.Time) []reply {
 	var replies []reply
 	d.queue = slices.DeleteFunc(d.queue, func(a ask) bool {
 		late := now.Add(d.service).After(a.deadline)
@@ -382,7 +286,7 @@
 }
 
 // open returns the servers with a free slot.
-func (d *desk) open(plan floorPlan, now time.Time) []fleet.Target {
+func (d *desk) open(plan deskView, now time.Time) []fleet.Target {
 	var list []fleet.Target
 	for _, t := range plan.targets {
 		if d.room(t, plan, now) {
@@ -395,7 +299,7 @@
 // next returns the ask that is served next, and its server: the most urgent one,
 // then one that can still meet its objective, then one of the workspace with the
 // fewest requests running, then the oldest.
-func (d *desk) next(plan floorPlan, now time.Time) (int, fleet.Target) {
+func (d *desk) next(plan deskView, now time.Time) (int, fleet.Target) {
 	best := -1
 	target := fleet.Target{}
 	for i, a := range d.queue {
--- a/pool/desk_test.go
+++ b/pool/desk_test.go
@@ -44,7 +44,7 @@
 // replay runs the load against a desk.
 func (l grayLoad) replay(seed uint64) outcome {
 	random := rand.New(rand.NewPCG(seed, 7))
-	plan := floorPlan{ramp: func(string) *Ramp { return nil }}
+	plan := deskView{ramp: func(string) *Ramp { return nil }}
 	period := time.Duration(float64(l.graySpan) / l.grayPart)
 	phase := make(map[string]time.Duration)
 	for i := range l.servers {
@@ -140,7 +140,7 @@
 func TestUrgentRequestsAreServedFirst(t *testing.T) {
 	is := is.New(t)
 	d := newDesk()
-	plan := floorPlan{
+	plan := deskView{
 		targets: []fleet.Target{{Name: "s", Slots: 1, Boot: 1}}, ramp: func(string) *Ramp { return nil },
 	}
 	late := func(id uint64, rank int) ask {
@@ -160,7 +160,7 @@
 func TestHopelessRequestsAreRefusedAtOnce(t *testing.T) {
 	is := is.New(t)
 	d := newDesk()
-	plan := floorPlan{
+	plan := deskView{
 		targets: []fleet.Target{{Name: "s", Slots: 1, Boot: 1}}, ramp: func(string) *Ramp { return nil },
 	}
 	short := ask{vm: "e", id: 1, objective: begin.Add(300 * time.Millisecond), deadline: begin.Add(300 * time.Millisecond)}
@@ -175,7 +175,7 @@
 func TestSeatsOfLostEntriesComeBack(t *testing.T) {
 	is := is.New(t)
 	d := newDesk()
-	plan := floorPlan{
+	plan := deskView{
 		targets: []fleet.Target{{Name: "s", Slots: 1, Boot: 1}}, ramp: func(string) *Ramp { return nil },
 	}
 	a := ask{vm: "e", id: 1, objective: begin.Add(time.Second), deadline: begin.Add(time.Second)}
@@ -190,7 +190,7 @@
 	is := is.New(t)
 	const rate = 9.2
 	ramp := NewRamp(100, 100, 3*time.Second).WithRate(rate)
-	plan := floorPlan{
+	plan := deskView{
 		targets: []fleet.Target{{Name: "s", Slots: 100, Boot: 1}}, ramp: func(string) *Ramp { return ramp },
 	}
 	d := newDesk()
@@ -210,7 +210,7 @@
 // that proved sound last, not to the next doubtful one.
 func TestSecondAttemptsGoToProvenServers(t *testing.T) {
 	is := is.New(t)
-	plan := floorPlan{ramp: func(string) *Ramp { return nil }}
+	plan := deskView{ramp: func(string) *Ramp { return nil }}
 	for _, name := range []string{"old", "proven", "failed", "doubtful"} {
 		plan.targets = append(plan.targets, fleet.Target{Name: name, Slots: 4, Boot: 1})
 	}
@@ -232,7 +232,7 @@
 func TestFurtherAttemptsDrawOnOneBudget(t *testing.T) {
 	is := is.New(t)
 	d := newDesk(retry.Ratio(0.18), retry.Slack(60, func() int { return 1 }))
-	plan := floorPlan{
+	plan := deskView{
 		targets: []fleet.Target{{Name: "a", Slots: 1000, Boot: 1}, {Name: "b", Slots: 1000, Boot: 1}},
 		ramp:    func(string) *Ramp { return nil },
 	}
@@ -282,7 +282,7 @@
 // centre is dear to the network: both count where servers are equally sound.
 func TestOpenConnectionsAndTheOwnDataCentreArePreferred(t *testing.T) {
 	is := is.New(t)
-	plan := floorPlan{keep: 4 * time.Second, ramp: func(string) *Ramp { return nil }}
+	plan := deskView{keep: 4 * time.Second, ramp: func(string) *Ramp { return nil }}
 	for i, centre := range []string{"far", "near", "near"} {
 		plan.targets = append(plan.targets, fleet.Target{Name: fmt.Sprint("s", i), DataCentre: centre, Slots: 4, Boot: 1})
 	}
--- a/pool/seat.go
+++ b/pool/seat.go
@@ -185,13 +185,13 @@
 		objective: now.Add(time.Duration(m.GetObjectiveMicros()) * time.Microsecond),
 		deadline:  now.Add(time.Duration(m.GetDeadlineMicros()) * time.Microsecond),
 	}
-	return []reply{h.desk.place(a, p.floorPlan(m.GetPool(), h, now), now)}
+	return []reply{h.desk.place(a, p.deskView(m.GetPool(), h, now), now)}
 }
 
-// floorPlan returns what a desk knows of the backend servers of its pool.
-func (p *Pools) floorPlan(pool string, h *holder, now time.Time) floorPlan {
+// deskView returns what a desk knows of the backend servers of its pool.
+func (p *Pools) deskView(pool string, h *holder, now time.Time) deskView {
 	settings, _ := state.Get[state.Pool](p.options.State(), pool)
-	plan := floorPlan{targets: p.eligible(pool), keep: p.options.KeepConnections, ramp: func(name string) *Ramp { return h.ramps[name] }}
+	plan := deskView{targets: p.eligible(pool), keep: p.options.KeepConnections, ramp: func(name string) *Ramp { return h.ramps[name] }}
 	for _, t := range plan.targets {
 		h.noteCold(t, settings)
 	}
@@ -263,7 +263,7 @@
 		p.mu.Unlock()
 		return
 	}
-	plan := p.floorPlan(m.GetPool(), h, now)
+	plan := p.deskView(m.GetPool(), h, now)
 	h.desk.done(seatKey{from, m.GetId()}, result, plan, now)
 	replies := h.desk.serve(plan, now)
 	p.mu.Unlock()
@@ -278,7 +278,7 @@
 		p.mu.Unlock()
 		return
 	}
-	replies := h.desk.tick(p.floorPlan(pool, h, now), now)
+	replies := h.desk.tick(p.deskView(pool, h, now), now)
 	p.mu.Unlock()
 	p.sendReplies(pool, replies)
 }
--- /dev/null
+++ b/prog/entry.go
@@ -0,0 +1,111 @@
+package prog
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/dottereldeal/dottereldeal/cert"
+	"github.com/dottereldeal/dottereldeal/conf"
+	"github.com/dottereldeal/dottereldeal/entry"
+	"github.com/dottereldeal/dottereldeal/platform"
+	"github.com/dottereldeal/dottereldeal/pool"
+	"github.com/dottereldeal/dottereldeal/proxy"
+)
+
+func entryCommand(set *conf.Set) runner {
+	common := sharedSettings(set)
+	found := discoverySettings(set)
+	callers := set.Addr("callers", "IP:PORT of the callers' listener", conf.Required())
+	announce := set.Addr("announce", "IP:PORT of the listener for backend servers' announcements, if they do not register with control")
+	ready := set.Addr("ready", "IP:PORT where every request is answered by whether this VM serves")
+	control := set.Peers("control", "control VMs, as NAME=IP:PORT,..., if there are no --seeds")
+	peers := set.Peers("peers", "some other entries, as NAME=IP:PORT,...")
+	advertise := set.Text("advertise", "IP:PORT of the links as other VMs reach it, if not --listen")
+	callersCert := set.Text("callers-tls-cert", "PEM certificate shown to callers")
+	callersKey := set.Text("callers-tls-key", "PEM key of that certificate")
+	keyHeader := set.Text("key-header", "header that holds callers' keys", conf.Default("Authorization"))
+	keyQuery := set.Text("key-query", "query parameter that may hold a key")
+	keyCookie := set.Text("key-cookie", "cookie that may hold a key")
+	drainDelay := set.Duration("drain-delay", "time between the end of readiness and of listening at a planned stop", conf.Default("5s"))
+	drainLimit := set.Duration("drain-limit", "longest wait for running requests at a planned stop", conf.Default("60s"))
+	grace := set.Duration("key-grace", "time that a running request may outlive its key", conf.Default("2s"))
+	cutOff := conf.Var(set, "when-cut-off", "what to do while cut off from control and the other entries: stop or serve", parseCutOff, conf.Default("stop"))
+	place := conf.Var(set, "placement", "who chooses the backend servers: local (every entry) or holder (one for all)", parsePlacement, conf.Default("local"))
+	keep := conf.Var(set, "keep-connections", "how long an idle connection to a backend server may serve a request that must run once; 0s for fresh ones", time.ParseDuration, conf.Default("0s"))
+	return func(set *conf.Set, s streams) int {
+		if len(*control)+len(*found.seeds) == 0 {
+			set.Add("--control", "is required where there are no --seeds")
+		}
+		identity := common.identity(set)
+		callersIdentity := loadCallers(set, *callersCert, *callersKey)
+		bounds := found.parseBounds(set)
+		if unusable(set, s) {
+			return exitUsage
+		}
+		addrs := map[string]netip.AddrPort{"listen": *common.listen, "admin": *common.admin, "callers": *callers}
+		for name, addr := range map[string]*netip.AddrPort{"announce": announce, "ready": ready} {
+			if addr.IsValid() {
+				addrs[name] = *addr
+			}
+		}
+		listeners := listenAll(set, addrs)
+		if unusable(set, s) {
+			return exitUsage
+		}
+		p := newProcess(common, identity, listeners, s)
+		sockets := entry.Listeners{
+			Links: listeners["listen"], Callers: listeners["callers"], Announce: listeners["announce"],
+			Admin: secureAdmin(listeners["admin"], identity), Ready: listeners["ready"],
+		}
+		opts := []entry.Option{
+			entry.VM(*common.vm), entry.DataCentre(*common.centre), entry.Advertise(*advertise),
+			entry.Control(*control), entry.Seeds(found.links(*common.listen)), entry.Peers(*peers),
+			entry.Clock(p.clock), entry.Line(p.line), entry.Proxy(proxy.Logger(p.logger)),
+			entry.Identity(identity), entry.CallersIdentity(callersIdentity),
+			entry.KeyPlaces(*keyHeader, *keyQuery, *keyCookie),
+			entry.Drain(*drainDelay, *drainLimit), entry.Grace(*grace), entry.WhenCutOff(*cutOff), entry.Placement(*place),
+			entry.Proxy(proxy.KeepConnections(*keep)), entry.Pools(pool.KeepConnections(*keep)),
+		}
+		if *found.bounds != "" {
+			delay, limit := planStop(bounds.Grace)
+			opts = append(opts, entry.Proxy(platform.Proxy(bounds)...), entry.Drain(delay, limit), entry.Tolerance(bounds.Quota),
+				entry.Pools(platform.Pools(bounds)...))
+		}
+		e := entry.New(sockets, opts...)
+		return p.runUntilStopped(e.Run, settingsWatch{set: set, apply: found.follow(*common.listen, e.SetSeeds)})
+	}
+}
+
+// planStop divides the time between the order to stop and the kill: half of it for
+// the balancer to look elsewhere, and the rest, less a reserve, for requests.
+func planStop(grace time.Duration) (delay, limit time.Duration) {
+	return grace / 2, grace * 5 / 12
+}
+
+func parsePlacement(text string) (pool.Placement, error) {
+	by := pool.Placement(text)
+	if by != pool.PlaceLocal && by != pool.PlaceHolder {
+		return "", fmt.Errorf("%q is neither local nor holder", text)
+	}
+	return by, nil
+}
+
+func parseCutOff(text string) (entry.CutOff, error) {
+	c := entry.CutOff(text)
+	if c != entry.CutOffServe && c != entry.CutOffStop {
+		return "", fmt.Errorf("%q is neither stop nor serve", text)
+	}
+	return c, nil
+}
+
+func loadCallers(set *conf.Set, certFile, keyFile string) *cert.Identity {
+	if certFile == "" && keyFile == "" {
+		return nil
+	}
+	identity, err := cert.Load(cert.Files{Cert: certFile, Key: keyFile})
+	if err != nil {
+		set.Add("--callers-tls-cert", "%s", err)
+	}
+	return identity
+}
--- a/prog/serve.go
+++ b/prog/serve.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -13,17 +12,11 @@
 	"syscall"
 	"time"
 
-	"github.com/dottereldeal/dottereldeal/admin"
 	"github.com/dottereldeal/dottereldeal/cert"
 	"github.com/dottereldeal/dottereldeal/clock"
 	"github.com/dottereldeal/dottereldeal/conf"
-	"github.com/dottereldeal/dottereldeal/ctrl"
-	"github.com/dottereldeal/dottereldeal/entry"
 	"github.com/dottereldeal/dottereldeal/event"
 	"github.com/dottereldeal/dottereldeal/platform"
-	"github.com/dottereldeal/dottereldeal/pool"
-	"github.com/dottereldeal/dottereldeal/proxy"
-	"github.com/dottereldeal/dottereldeal/store"
 )
 
 // logPeriod is the time between two looks for new events to log.
@@ -152,42 +145,6 @@
 	return bounds
 }
 
-func controlCommand(set *conf.Set) runner {
-	common := sharedSettings(set)
-	found := discoverySettings(set)
-	folder := set.Text("data-folder", "folder for log and snapshots", conf.Required())
-	replicas := set.Peers("replicas", "control VMs of the first start, as NAME=IP:PORT,..., if there are no --seeds")
-	founding := set.Bool("found", "this is the first start of the whole fleet: the VMs of --seeds found the group")
-	losses := set.Int("losses", "control VMs that may be lost at the same time", 0, conf.Default("0"))
-	platformAddr := set.Addr("platform-listen", "IP:PORT for the calls of the users' platform")
-	return func(set *conf.Set, s streams) int {
-		if _, ok := (*replicas)[*common.vm]; !ok && *common.vm != "" && len(*found.seeds) == 0 {
-			set.Add("--replicas", "does not name this VM %q, and there are no --seeds", *common.vm)
-		}
-		identity := common.identity(set)
-		bounds := found.parseBounds(set)
-		if unusable(set, s) {
-			return exitUsage
-		}
-		addrs := map[string]netip.AddrPort{"listen": *common.listen, "admin": *common.admin}
-		if platformAddr.IsValid() {
-			addrs["platform-listen"] = *platformAddr
-		}
-		listeners := listenAll(set, addrs)
-		if unusable(set, s) {
-			return exitUsage
-		}
-		c := controlProcess{
-			process: newProcess(common, identity, listeners, s), found: found, bounds: bounds,
-			options: []ctrl.Option{
-				ctrl.Replicas(*replicas), ctrl.Seeds(found.links(*common.listen)), ctrl.Founding(*founding),
-				ctrl.Addr(*common.listen), ctrl.Losses(*losses),
-			},
-		}
-		return c.run(set, *folder)
-	}
-}
-
 // process is what all processes of a fleet have.
 type process struct {
 	common    shared
@@ -213,147 +170,6 @@
 	}
 }
 
-// controlProcess is a control process that is about to run.
-type controlProcess struct {
-	process
-	found   discovery
-	bounds  platform.Bounds
-	options []ctrl.Option
-}
-
-func (p controlProcess) run(set *conf.Set, path string) int {
-	folder, err := store.OpenFolder(path)
-	if err != nil {
-		fmt.Fprintln(p.streams.err, "--data-folder:", err)
-		return exitUsage
-	}
-	defer folder.Close()
-	control, err := ctrl.New(folder, p.listeners["listen"], append([]ctrl.Option{
-		ctrl.VM(*p.common.vm), ctrl.DataCentre(*p.common.centre),
-		ctrl.Clock(p.clock), ctrl.Line(p.line), ctrl.Identity(p.identity),
-	}, p.options...)...)
-	if err != nil {
-		fmt.Fprintln(p.streams.err, err)
-		return exitFailed
-	}
-	stopAdmin := serveAdmin(admin.New(control.Admin()...), p.listeners["admin"], p.identity)
-	defer stopAdmin()
-	if l, ok := p.listeners["platform-listen"]; ok {
-		server := platformServer(platform.New(control, platform.WithBounds(p.bounds), platform.WithLogger(p.logger)))
-		go server.Serve(l)
-		defer server.Close()
-	}
-	return p.runUntilStopped(control.Run, settingsWatch{set: set, apply: p.found.follow(*p.common.listen, control.SetSeeds)})
-}
-
-const (
-	// callHeaderTimeout and callIdle bound what a caller of the platform's calls
-	// may take and how long its connection stays open.
-	callHeaderTimeout = 5 * time.Second
-	callIdle          = 60 * time.Second
-)
-
-func platformServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: callHeaderTimeout, IdleTimeout: callIdle}
-}
-
-func entryCommand(set *conf.Set) runner {
-	common := sharedSettings(set)
-	found := discoverySettings(set)
-	callers := set.Addr("callers", "IP:PORT of the callers' listener", conf.Required())
-	announce := set.Addr("announce", "IP:PORT of the listener for backend servers' announcements, if they do not register with control")
-	ready := set.Addr("ready", "IP:PORT where every request is answered by whether this VM serves")
-	control := set.Peers("control", "control VMs, as NAME=IP:PORT,..., if there are no --seeds")
-	peers := set.Peers("peers", "some other entries, as NAME=IP:PORT,...")
-	advertise := set.Text("advertise", "IP:PORT of the links as other VMs reach it, if not --listen")
-	callersCert := set.Text("callers-tls-cert", "PEM certificate shown to callers")
-	callersKey := set.Text("callers-tls-key", "PEM key of that certificate")
-	keyHeader := set.Text("key-header", "header that holds callers' keys", conf.Default("Authorization"))
-	keyQuery := set.Text("key-query", "query parameter that may hold a key")
-	keyCookie := set.Text("key-cookie", "cookie that may hold a key")
-	drainDelay := set.Duration("drain-delay", "time between the end of readiness and of listening at a planned stop", conf.Default("5s"))
-	drainLimit := set.Duration("drain-limit", "longest wait for running requests at a planned stop", conf.Default("60s"))
-	grace := set.Duration("key-grace", "time that a running request may outlive its key", conf.Default("2s"))
-	cutOff := conf.Var(set, "when-cut-off", "what to do while cut off from control and the other entries: stop or serve", parseCutOff, conf.Default("stop"))
-	place := conf.Var(set, "placement", "who chooses the backend servers: local (every entry) or holder (one for all)", parsePlacement, conf.Default("local"))
-	keep := conf.Var(set, "keep-connections", "how long an idle connection to a backend server may serve a request that must run once; 0s for fresh ones", time.ParseDuration, conf.Default("0s"))
-	return func(set *conf.Set, s streams) int {
-		if len(*control)+len(*found.seeds) == 0 {
-			set.Add("--control", "is required where there are no --seeds")
-		}
-		identity := common.identity(set)
-		callersIdentity := loadCallers(set, *callersCert, *callersKey)
-		bounds := found.parseBounds(set)
-		if unusable(set, s) {
-			return exitUsage
-		}
-		addrs := map[string]netip.AddrPort{"listen": *common.listen, "admin": *common.admin, "callers": *callers}
-		for name, addr := range map[string]*netip.AddrPort{"announce": announce, "ready": ready} {
-			if addr.IsValid() {
-				addrs[name] = *addr
-			}
-		}
-		listeners := listenAll(set, addrs)
-		if unusable(set, s) {
-			return exitUsage
-		}
-		p := newProcess(common, identity, listeners, s)
-		sockets := entry.Listeners{
-			Links: listeners["listen"], Callers: listeners["callers"], Announce: listeners["announce"],
-			Admin: secureAdmin(listeners["admin"], identity), Ready: listeners["ready"],
-		}
-		opts := []entry.Option{
-			entry.VM(*common.vm), entry.DataCentre(*common.centre), entry.Advertise(*advertise),
-			entry.Control(*control), entry.Seeds(found.links(*common.listen)), entry.Peers(*peers),
-			entry.Clock(p.clock), entry.Line(p.line), entry.Proxy(proxy.Logger(p.logger)),
-			entry.Identity(identity), entry.CallersIdentity(callersIdentity),
-			entry.KeyPlaces(*keyHeader, *keyQuery, *keyCookie),
-			entry.Drain(*drainDelay, *drainLimit), entry.Grace(*grace), entry.WhenCutOff(*cutOff), entry.Placement(*place),
-			entry.Proxy(proxy.KeepConnections(*keep)), entry.Pools(pool.KeepConnections(*keep)),
-		}
-		if *found.bounds != "" {
-			delay, limit := planStop(bounds.Grace)
-			opts = append(opts, entry.Proxy(platform.Proxy(bounds)...), entry.Drain(delay, limit), entry.Tolerance(bounds.Quota),
-				entry.Pools(platform.Pools(bounds)...))
-		}
-		e := entry.New(sockets, opts...)
-		return p.runUntilStopped(e.Run, settingsWatch{set: set, apply: found.follow(*common.listen, e.SetSeeds)})
-	}
-}
-
-// planStop divides the time between the order to stop and the kill: half of it for
-// the balancer to look elsewhere, and the rest, less a reserve, for requests.
-func planStop(grace time.Duration) (delay, limit time.Duration) {
-	return grace / 2, grace * 5 / 12
-}
-
-func parsePlacement(text string) (pool.Placement, error) {
-	by := pool.Placement(text)
-	if by != pool.PlaceLocal && by != pool.PlaceHolder {
-		return "", fmt.Errorf("%q is neither local nor holder", text)
-	}
-	return by, nil
-}
-
-func parseCutOff(text string) (entry.CutOff, error) {
-	c := entry.CutOff(text)
-	if c != entry.CutOffServe && c != entry.CutOffStop {
-		return "", fmt.Errorf("%q is neither stop nor serve", text)
-	}
-	return c, nil
-}
-
-func loadCallers(set *conf.Set, certFile, keyFile string) *cert.Identity {
-	if certFile == "" && keyFile == "" {
-		return nil
-	}
-	identity, err := cert.Load(cert.Files{Cert: certFile, Key: keyFile})
-	if err != nil {
-		set.Add("--callers-tls-cert", "%s", err)
-	}
-	return identity
-}
-
 // runUntilStopped runs a process until it is asked to stop, and logs its events.
 func (p process) runUntilStopped(run func(context.Context) error, settings settingsWatch) int {
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
