Count an earlier holder's grants from the takeover, not from the first request

Cause: a bucket is made when its workspace sends its first request, and its window was filled then as if an earlier holder had just granted everything. Ruled out: the rates; no workspace was over its rate in that second. Change: the window is filled as of the takeover. Test: TestFirstRequestsLongAfterATakeoverAreServed failed before (0 tokens of 5).

--- a/limit/shared.go
+++ b/limit/shared.go
@@ -233,7 +233,8 @@
 func (s *Shared) bucket(w state.Workspace, since, now time.Time) *Bucket {
 	o, ok := s.buckets[w.Name]
 	if !ok || !o.since.Equal(since) {
-		o = &owned{bucket: NewBucket(w.Rate, w.Burst, since.Add(MaxWait)).WithTolerance(s.tolerance, now), since: since}
+		start := since.Add(MaxWait)
+		o = &owned{bucket: NewBucket(w.Rate, w.Burst, start).WithTolerance(s.tolerance, start), since: since}
 		s.buckets[w.Name] = o
 	}
 	o.bucket.Set(w.Rate, w.Burst, now)
--- a/limit/tolerance_test.go
+++ b/limit/tolerance_test.go
@@ -7,7 +7,9 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dottereldeal/dottereldeal/clock"
 	"github.com/dottereldeal/dottereldeal/state"
+	"github.com/dottereldeal/dottereldeal/wire"
 )
 
 var fiveSeconds = Tolerance{Window: 5 * time.Second, Excess: 0.1, Slack: 20}
@@ -121,3 +123,23 @@
 		t.Errorf("%d of %d served, %d are due", served, plays*demand, least)
 	}
 }
+
+// heldSince is a lease that this VM has held since an instant.
+type heldSince time.Time
+
+func (h heldSince) Held(string) (time.Time, bool) { return time.Time(h), true }
+
+func (heldSince) Holder(string) (string, bool) { return "e1", true }
+
+// A bucket is made when its workspace sends its first request, which may be long
+// after this VM took over its shard. Earlier holders no longer count then.
+func TestFirstRequestsLongAfterATakeoverAreServed(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(9000, 0)
+	w := state.Workspace{Name: "w", Rate: 20, Burst: 20}
+	current := state.State{}.WithRecords(1, []state.Record{{Ref: w.Ref(), Object: w, Index: 1}})
+	s := NewShared("e1", clock.NewManual(now), nil, heldSince(now.Add(-10*time.Second)), func() state.State { return current }).
+		WithTolerance(fiveSeconds, func() int { return 40 })
+	answer := s.grant(&wire.TokenAsk{Workspace: "w", Tokens: 5}, now)
+	is.Equal(answer.GetTokens(), uint32(5))
+}
