Leave a second for the end of a process at a planned stop

Change: 2.5 s of delay, 2.5 s for requests, a second for the rest. Test: TestPlannedStopLeavesTimeForEveryStep failed before (0.5 s were left).

--- a/prog/entry.go
+++ b/prog/entry.go
@@ -77,10 +77,14 @@
 	}
 }
 
-// planStop divides the time between the order to stop and the kill: half of it for
-// the balancer to look elsewhere, and the rest, less a reserve, for requests.
+// stopParts is the number of parts into which the time for a planned stop is divided.
+const stopParts = 12
+
+// planStop divides the time between the order to stop and the kill: five parts for
+// the balancer to look elsewhere, five for running requests, and two for the end of
+// the process, whose links take up to a second to close.
 func planStop(grace time.Duration) (delay, limit time.Duration) {
-	return grace / 2, grace * 5 / 12
+	return grace * 5 / stopParts, grace * 5 / stopParts
 }
 
 func parsePlacement(text string) (pool.Placement, error) {
