Choose ports for later processes below those of outgoing connections

A test chose a free port by listening and closing; an outgoing connection of another test took it before the process started, and a group of two of three was not founded. Ruled out: the founding; the log of c1 shows that it never started.

--- a/ctrl/group_test.go
+++ b/ctrl/group_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dottereldeal/dottereldeal/clock"
+	"github.com/dottereldeal/dottereldeal/fake"
 	"github.com/dottereldeal/dottereldeal/quorum"
 	"github.com/dottereldeal/dottereldeal/state"
 	"github.com/dottereldeal/dottereldeal/store"
@@ -43,12 +44,7 @@
 func newCrew(tb testing.TB) *crew {
 	c := &crew{tb: tb, path: tb.TempDir(), nodes: make([]*crewNode, crewSize)}
 	for range crewSize {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			tb.Fatal(err)
-		}
-		c.addrs = append(c.addrs, l.Addr().(*net.TCPAddr).AddrPort())
-		l.Close()
+		c.addrs = append(c.addrs, fake.FreeAddr())
 	}
 	tb.Cleanup(func() { c.stop(c.all()...) })
 	return c
@@ -258,10 +254,7 @@
 	c.propose(0, planOf(7, 1))
 	lost := c.nodes[0].identity.ID
 	c.stop(0)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	c.addrs = append(c.addrs, l.Addr().(*net.TCPAddr).AddrPort())
-	l.Close()
+	c.addrs = append(c.addrs, fake.FreeAddr())
 	c.nodes = append(c.nodes, nil)
 	c.start(false, 5)
 	c.await("a whole group", 4*time.Second, func() bool {
--- a/prog/commands_test.go
+++ b/prog/commands_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"strconv"
 	"strings"
@@ -31,10 +30,7 @@
 // portsCommand sets each named variable to a free loopback address: ports C1 C2.
 func portsCommand(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		ts.Setenv(name, l.Addr().String())
-		ts.Check(l.Close())
+		ts.Setenv(name, fake.FreeAddr().String())
 	}
 }
 
