Keep a seat's workspace in the seat, and drop a dead parameter

Cause: the desk kept a second map from seats to workspaces beside the seats, and deskView was still given an instant that it no longer uses. Change: one field, one map and one parameter less.

--- a/pool/desk.go
+++ b/pool/desk.go
@@ -74,9 +74,10 @@
 
 // seat is a slot in use.
 type seat struct {
-	target  string
-	until   time.Time
-	ramping bool
+	target    string
+	workspace string
+	until     time.Time
+	ramping   bool
 }
 
 // reply is what the desk says to an ask.
@@ -104,7 +105,6 @@
 	seats   map[seatKey]seat
 	queue   []ask
 	running map[string]int // seats by workspace
-	owners  map[seatKey]string
 	service time.Duration
 	// visits is when an entry's last request at a server ended.
 	visits map[visit]time.Time
@@ -117,7 +117,7 @@
 		climate: health.NewClimate(), beliefs: make(map[string]health.Belief), boots: make(map[string]uint64),
 		inUse: make(map[string]int), seats: make(map[seatKey]seat),
 		visits:  make(map[visit]time.Time),
-		running: make(map[string]int), owners: make(map[seatKey]string), service: firstService,
+		running: make(map[string]int), service: firstService,
 		budget: retry.NewBudget(budget...),
 	}
 }
@@ -152,7 +152,7 @@
 
 // seat takes a slot for an ask.
 func (d *desk) seat(a ask, target fleet.Target, plan deskView, now time.Time) reply {
-	s := seat{target: target.Name, until: a.deadline.Add(lostAfter)}
+	s := seat{target: target.Name, workspace: a.workspace, until: a.deadline.Add(lostAfter)}
 	if r := plan.ramp(target.Name); r != nil {
 		s.ramping = true
 		r.Grant(now)
@@ -160,7 +160,6 @@
 	d.inUse[target.Name]++
 	d.seats[a.key()] = s
 	d.running[a.workspace]++
-	d.owners[a.key()] = a.workspace
 	return reply{ask: a, target: target.Name}
 }
 
@@ -211,10 +210,8 @@
 	if d.inUse[s.target]--; d.inUse[s.target] <= 0 {
 		delete(d.inUse, s.target)
 	}
-	workspace := d.owners[key]
-	delete(d.owners, key)
-	if d.running[workspace]--; d.running[workspace] <= 0 {
-		delete(d.running, workspace)
+	if d.running[s.workspace]--; d.running[s.workspace] <= 0 {
+		delete(d.running, s.workspace)
 	}
 }
 
--- a/pool/seat.go
+++ b/pool/seat.go
@@ -185,11 +185,11 @@
 		objective: now.Add(time.Duration(m.GetObjectiveMicros()) * time.Microsecond),
 		deadline:  now.Add(time.Duration(m.GetDeadlineMicros()) * time.Microsecond),
 	}
-	return []reply{h.desk.place(a, p.deskView(m.GetPool(), h, now), now)}
+	return []reply{h.desk.place(a, p.deskView(m.GetPool(), h), now)}
 }
 
 // deskView returns what a desk knows of the backend servers of its pool.
-func (p *Pools) deskView(pool string, h *holder, now time.Time) deskView {
+func (p *Pools) deskView(pool string, h *holder) deskView {
 	settings, _ := state.Get[state.Pool](p.options.State(), pool)
 	plan := deskView{targets: p.eligible(pool), keep: p.options.KeepConnections, ramp: func(name string) *Ramp { return h.ramps[name] }}
 	for _, t := range plan.targets {
@@ -263,7 +263,7 @@
 		p.mu.Unlock()
 		return
 	}
-	plan := p.deskView(m.GetPool(), h, now)
+	plan := p.deskView(m.GetPool(), h)
 	h.desk.done(seatKey{from, m.GetId()}, result, plan, now)
 	replies := h.desk.serve(plan, now)
 	p.mu.Unlock()
@@ -278,7 +278,7 @@
 		p.mu.Unlock()
 		return
 	}
-	replies := h.desk.tick(p.deskView(pool, h, now), now)
+	replies := h.desk.tick(p.deskView(pool, h), now)
 	p.mu.Unlock()
 	p.sendReplies(pool, replies)
 }
