Accept nothing before a new group can bear the loss of its disks

Cause: three founders accept a record on three disks before the others have joined. With two of these disks lost nothing is lost, but one voter of three is left: no leader, so nothing can be read. Ruled out: the commit rule (three disks did hold the record). Change: the leader of a group that it founded holds proposals back until there are 2 x losses + 1 voters, for 3 s at most, since fewer VMs may exist.

--- a/ctrl/ctrl.go
+++ b/ctrl/ctrl.go
@@ -38,6 +38,8 @@
 var (
 	// ErrStopped means that the process is stopping.
 	ErrStopped = errors.New("control is stopping")
+	// ErrGrowing means that the new group is still too small to accept anything.
+	ErrGrowing = errors.New("the new group is still too small to bear the loss of its disks")
 	// ErrNotLeader means that another replica leads, or none does.
 	ErrNotLeader = quorum.ErrNotLeader
 	// ErrUnknown means that the outcome could not be known in time.
@@ -94,6 +96,8 @@
 	lastLeader time.Time
 	// lastRepair is when the group was looked at last.
 	lastRepair time.Time
+	// grown says that the group has had as many voters as it wants.
+	grown bool
 	// firstIndex is the index of the first ticket ever, 0 before it.
 	firstIndex uint64
 	heldIndex  uint64
--- a/ctrl/found.go
+++ b/ctrl/found.go
@@ -25,7 +25,7 @@
 		c.founding[c.options.VM] = c.foundMessage(false)
 	}
 	for _, to := range c.foundingPeers() {
-		if _, heard := c.founding[to]; !heard || len(c.options.Seeds) > 0 {
+		if _, heard := c.founding[to]; !heard || c.selfRepairs() {
 			c.sendFound(to, true)
 		}
 	}
@@ -44,13 +44,13 @@
 	if c.status.Load().Leader != 0 {
 		c.lastLeader = now
 	}
-	return len(c.options.Seeds) > 0 && now.Sub(c.lastLeader) > strayLimit
+	return c.selfRepairs() && now.Sub(c.lastLeader) > strayLimit
 }
 
 // foundingPeers returns whom to ask for a group: names, or addresses of VMs whose
 // names are not known yet.
 func (c *Control) foundingPeers() []string {
-	if len(c.options.Seeds) == 0 {
+	if !c.selfRepairs() {
 		return c.options.Replicas.Names()
 	}
 	var peers []string
@@ -80,7 +80,7 @@
 // allHeard reports whether this replica may found a group and has heard from
 // every other founder that it has none.
 func (c *Control) allHeard() bool {
-	if len(c.options.Seeds) == 0 {
+	if !c.selfRepairs() {
 		return len(c.founding) == len(c.options.Replicas)
 	}
 	if !c.options.Founding || !slices.Contains(c.options.Seeds, c.options.Addr) {
@@ -97,7 +97,7 @@
 
 // founder reports whether a replica may be one of the first group.
 func (c *Control) founder(vm string, m *wire.Found) bool {
-	if len(c.options.Seeds) == 0 {
+	if !c.selfRepairs() {
 		_, named := c.options.Replicas[vm]
 		return named
 	}
@@ -124,7 +124,7 @@
 	if m.GetVm() != from {
 		return
 	}
-	if addr, err := netip.ParseAddrPort(m.GetAddr()); err == nil && len(c.options.Seeds) > 0 {
+	if addr, err := netip.ParseAddrPort(m.GetAddr()); err == nil && c.selfRepairs() {
 		c.link.SetPeer(from, addr)
 	}
 	if m.GetAsk() {
@@ -137,7 +137,7 @@
 		c.noteOthers(group)
 	}
 	founder := c.founder(from, m)
-	if c.identity.Member || !founder && len(c.options.Seeds) == 0 {
+	if c.identity.Member || !founder && !c.selfRepairs() {
 		return
 	}
 	switch {
@@ -153,7 +153,7 @@
 // mayAdopt reports whether this replica may start from a group that names it. In
 // a self-repairing fleet only founders do; others receive the group by the log.
 func (c *Control) mayAdopt(g quorum.Group) bool {
-	if len(c.options.Seeds) == 0 {
+	if !c.selfRepairs() {
 		return true
 	}
 	return c.options.Founding && g.Voter(c.identity.ID) && slices.Contains(c.options.Seeds, c.options.Addr)
--- a/ctrl/group_test.go
+++ b/ctrl/group_test.go
@@ -245,6 +245,26 @@
 	is.True(err != nil) // two disks are not enough
 }
 
+// Two disks are lost right after the very first acknowledgement, while the group may
+// consist of its founders only and others have just joined.
+func TestTwoDisksLostWhileTheGroupIsFoundedLoseNothing(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	for _, lost := range [][]int{{0, 1}, {1, 2}, {2, 4}} {
+		c := newCrew(t)
+		c.start(true, c.all()...)
+		c.propose(lost[0], planOf(7, 1))
+		c.stop(c.all()...)
+		c.wipe(lost...)
+		c.start(false, c.all()...)
+		for i := range crewSize {
+			is.Equal(c.read(i), uint64(7))
+		}
+		c.await("a whole group", 10*time.Second, func() bool { return c.whole(crewSize) })
+		c.stop(c.all()...)
+	}
+}
+
 func TestEmptyReplicaAtAnotherAddressTakesThePlaceOfALostOne(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
--- a/ctrl/propose.go
+++ b/ctrl/propose.go
@@ -28,12 +28,18 @@
 	return c.proposeHere(ctx, data)
 }
 
-// proposeHere puts a record into the log as its leader.
+// proposeHere puts a record into the log as its leader. While a new group grows,
+// the record waits.
 func (c *Control) proposeHere(ctx context.Context, data []byte) (ledger.Outcome, error) {
 	answer := make(chan ledger.Outcome, 1)
-	var failed error
-	if err := c.do(ctx, func() { failed = c.propose(data, answer) }); err != nil {
-		return ledger.Outcome{}, err
+	failed := ErrGrowing
+	for failed == ErrGrowing {
+		if err := c.do(ctx, func() { failed = c.propose(data, answer) }); err != nil {
+			return ledger.Outcome{}, err
+		}
+		if failed == ErrGrowing && !c.pause(ctx) {
+			break
+		}
 	}
 	if failed != nil {
 		return ledger.Outcome{}, failed
@@ -52,6 +58,9 @@
 }
 
 func (c *Control) propose(data []byte, answer chan ledger.Outcome) error {
+	if c.growing(c.options.Clock.Now()) {
+		return ErrGrowing
+	}
 	index, term, err := c.core.Propose(data)
 	if err != nil {
 		return err
@@ -60,6 +69,18 @@
 	return nil
 }
 
+// pause waits a little, and reports whether there is still a reason to wait.
+func (c *Control) pause(ctx context.Context) bool {
+	select {
+	case <-time.After(leaderPoll):
+		return true
+	case <-ctx.Done():
+		return false
+	case <-c.done:
+		return false
+	}
+}
+
 // Current returns the state with every ticket accepted before the call. Another
 // replica than the leader asks it for a confirmed index, and waits until it has
 // applied that much.
--- a/ctrl/repair.go
+++ b/ctrl/repair.go
@@ -13,6 +13,10 @@
 	// goneAfter is the silence after which a replica may be replaced. It is twice
 	// the longest election, so that an election alone replaces nobody.
 	goneAfter = 2 * time.Second
+	// growthPatience is how long a new group that is too small to bear its losses
+	// accepts nothing. A group of five is whole within a second; where fewer VMs
+	// exist, the fleet must start all the same.
+	growthPatience = 3 * time.Second
 	// maxReplicas bounds a group that grows by itself.
 	maxReplicas = 9
 )
@@ -44,8 +48,7 @@
 	silence func(quorum.ID) time.Duration
 	// caughtUp reports whether a replica holds everything committed.
 	caughtUp func(quorum.ID) bool
-	// wanted is the number of voters with which the losses to be borne leave a
-	// majority.
+	// wanted is the number of voters that the group should have.
 	wanted int
 }
 
@@ -137,7 +140,7 @@
 // that repairs itself.
 func (c *Control) tickRepair(now time.Time) {
 	s := c.status.Load()
-	if len(c.options.Seeds) == 0 || s.Role != quorum.Leader || now.Sub(c.lastRepair) < repairPeriod {
+	if !c.selfRepairs() || s.Role != quorum.Leader || now.Sub(c.lastRepair) < repairPeriod {
 		return
 	}
 	c.lastRepair = now
@@ -165,7 +168,7 @@
 
 func (c *Control) repairView(s *quorum.Status, now time.Time) repairView {
 	v := repairView{
-		self: s.ID, group: s.Group, wanted: 2*c.options.Losses + 1,
+		self: s.ID, group: s.Group, wanted: c.options.wholeGroup(),
 		silence: func(id quorum.ID) time.Duration {
 			return now.Sub(latest(c.heard[id], c.ledSince))
 		},
@@ -179,6 +182,25 @@
 	return v
 }
 
+// selfRepairs reports whether the group founds and repairs itself, without
+// operators who name its replicas.
+func (c *Control) selfRepairs() bool { return len(c.options.Seeds) > 0 }
+
+// wholeGroup is the number of voters with which the losses to be borne leave a
+// majority.
+func (o Options) wholeGroup() int { return 2*o.Losses + 1 }
+
+// growing reports whether the group that this VM has founded is still too small to
+// go on after the losses that it has to bear. What it accepts now would be safe on
+// the disks, but no majority would be left to read it.
+func (c *Control) growing(now time.Time) bool {
+	if !c.selfRepairs() || !c.options.Founding || c.grown {
+		return false
+	}
+	c.grown = c.core.Status().Group.Voters() >= c.options.wholeGroup()
+	return !c.grown && now.Sub(c.ledSince) < growthPatience
+}
+
 // latest returns the later of two instants.
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
