Admit the spare part alone after a power loss, and wait for a first configuration

Cause: after all VMs lost power, requests were refused twice and lost. Ruled out: the backend servers and desks (no failed attempts in that time). Change: a request waits up to 0.7 s for the first configuration of a VM that has just started; entries share the whole part that holders leave (15% of what is tolerated) and wait with the rest for up to a second; a new holder says that it is not ready until its window has room; leases last 0.8 s instead of 1.2 s; entries that do not know the others yet admit nothing, and those that are cut off remember how many there were.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,14 +67,18 @@
 	claims    *claim.Claims
 	view      atomic.Pointer[proxy.View]
 	proxy     *proxy.Handler
-	stopping  atomic.Bool
-	servers   []*http.Server
-	admin     *admin.Server
+	// first is closed once there is a configuration.
+	first    chan struct{}
+	crowd    crowd
+	stopping atomic.Bool
+	servers  []*http.Server
+	admin    *admin.Server
 }
 
 // New wires an entry. Run serves it.
 func New(l Listeners, opts ...Option) *Entry {
-	e := &Entry{options: newOptions(opts...), listeners: l}
+	e := &Entry{options: newOptions(opts...), listeners: l, first: make(chan struct{})}
+	e.crowd.started = e.options.Clock.Now()
 	e.view.Store(proxy.NewView(state.State{}))
 	e.link = link.New(l.Links,
 		link.VM(e.options.VM), link.Line(e.options.Line), link.Identity(e.options.Identity),
@@ -92,7 +96,7 @@
 		lease.Fresh(e.fresh), lease.Clock(e.options.Clock), lease.Line(e.options.Line),
 	)
 	e.limits = limit.NewShared(e.options.VM, e.options.Clock, e.link, e.leases, e.State).
-		WithTolerance(e.options.Tolerance, e.MemberCount)
+		WithTolerance(e.options.Tolerance, e.settledCount)
 	e.pools = pool.New(e.link, e.fleet, e.leases, append([]pool.Option{
 		pool.VM(e.options.VM), pool.DataCentre(e.options.DataCentre), pool.Place(e.options.Placement), pool.State(e.State),
 		pool.Settings(func() []state.Pool { return e.view.Load().Pools }), pool.Clock(e.options.Clock), pool.Line(e.options.Line),
@@ -104,7 +108,7 @@
 	e.vouch = newVoucher(e)
 	e.sync = newFollower(e)
 	e.proxy = proxy.New(append([]proxy.Option{
-		proxy.Views(e.view.Load), proxy.Serving(e.usable), proxy.Clock(e.options.Clock),
+		proxy.Views(e.view.Load), proxy.Serving(e.usable), proxy.Started(e.first), proxy.Clock(e.options.Clock),
 		proxy.Limiter(e.limits),
 		proxy.Picker(e.picker()), proxy.Claim(e.claims.Claim),
 		proxy.Entries(func() int { return len(e.fleet.Members()) }),
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -155,7 +155,7 @@
 		return
 	}
 	f.sourceAt = time.Time{}
-	f.adopt(next)
+	f.adopt(before, next)
 	if slices.Contains(f.controls, from) {
 		go f.ask(from, next.Index())
 	}
@@ -211,11 +211,14 @@
 	f.controls, f.current = names, max(0, slices.Index(names, used))
 }
 
-// adopt puts a new configuration in force on this VM.
-func (f *follower) adopt(next state.State) {
+// adopt puts a new configuration in force on this VM, in place of the one before.
+func (f *follower) adopt(before, next state.State) {
 	view := proxy.NewView(next)
 	f.entry.fleet.SetRegistered(registered(next))
 	f.entry.view.Store(view)
+	if before.Index() == 0 && next.Index() > 0 {
+		close(f.entry.first)
+	}
 	f.entry.proxy.Apply(view)
 	f.entry.fleet.SetIndex(next.Index())
 	f.entry.options.Line.Record(event.StateApplied, next.String(), "")
--- a/entry/status.go
+++ b/entry/status.go
@@ -96,6 +96,13 @@
 // MemberCount returns the number of entries that take part, this one included.
 func (e *Entry) MemberCount() int { return len(e.fleet.Members()) }
 
+// settledCount returns the number of entries that share what one of them has to do
+// alone: the most that were known lately, or 0 while this VM has only just begun to
+// learn of the others.
+func (e *Entry) settledCount() int {
+	return e.crowd.count(e.MemberCount(), e.options.Clock.Now())
+}
+
 // Links returns the links of the process.
 func (e *Entry) Links() link.Link { return e.link }
 
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -23,7 +23,7 @@
 	// Duration is how long a voter's grant lasts. It is also how long a voter that
 	// has restarted grants nothing, and so how long rates and pools have no holder
 	// after a power loss. Two renewals may be lost in it.
-	Duration = 1200 * time.Millisecond
+	Duration = 800 * time.Millisecond
 	// marginPart is the part of a duration by which clocks may differ.
 	marginPart = 20
 	// HeldFor is how long a lease is held from the sending of its request.
--- a/lease/leases.go
+++ b/lease/leases.go
@@ -18,7 +18,7 @@
 	Period = 200 * time.Millisecond
 	// renewAt is the time left of a lease at which it is renewed. Two renewals may
 	// be lost before it ends.
-	renewAt = HeldFor - 2*Period + Period/2
+	renewAt = HeldFor - Period/2
 	// askBatch is the number of names in one request.
 	askBatch = 256
 )
--- a/limit/alone.go
+++ b/limit/alone.go
@@ -20,6 +20,9 @@
 	// holderPart is the part of what is tolerated that the holder of a shard uses;
 	// the rest is for entries that do not reach it.
 	holderPart = 0.85
+	// aloneSpan is the time without a holder after which an entry's part of the rate
+	// itself comes back too. Until then what was granted before still counts.
+	aloneSpan = time.Second
 )
 
 // limit returns the number of requests tolerated in one window.
@@ -27,34 +30,50 @@
 	return (rate*t.Window.Seconds()+burst)*(1+t.Excess) + t.Slack
 }
 
+// spare returns the number of requests in one window that the holder of a shard
+// leaves to the entries that do not reach it.
+func (t Tolerance) spare(rate, burst float64) float64 {
+	return (1 - holderPart) * t.limit(rate, burst)
+}
+
 // aloneBucket is an entry's own part of a workspace's rate, for the time in which the
-// holder of its shard does not answer. The parts of all entries add up to the rate
-// and, at the start, to what is tolerated beyond it.
+// holder of its shard does not answer. The parts of all entries add up to what the
+// holder leaves, and while there is none, to the rate.
+//
+// The pattern it answers: after a power loss nobody holds a shard for about a second,
+// and a workspace's requests are spread over more entries than it has requests in
+// that time.
 type aloneBucket struct {
-	tokens float64
-	filled time.Time
+	tolerance Tolerance
+	tokens    float64
+	filled    time.Time
+	// since is the start of the time without a holder.
+	since time.Time
 }
 
-// newAloneBucket returns the part of one of n entries. It starts with a token by
-// chance, so that few tokens are spread over many entries.
+// newAloneBucket returns the part of one of n entries.
 func newAloneBucket(t Tolerance, w state.Workspace, n int, now time.Time) *aloneBucket {
-	spare := (t.limit(w.Rate, w.Burst) - w.Rate*t.Window.Seconds()) * (1 - holderPart)
-	b := &aloneBucket{filled: now}
-	if share := spare / float64(max(1, n)); rand.Float64() < share {
-		b.tokens = max(1, share)
-	}
-	return b
+	return &aloneBucket{tolerance: t, tokens: t.spare(w.Rate, w.Burst) / float64(max(1, n)), filled: now, since: now}
 }
 
-// take uses one token and reports whether there was one.
-func (b *aloneBucket) take(w state.Workspace, n int, now time.Time) bool {
+// take uses one token and reports whether there was one. The holder has answered
+// this entry last at an instant. Parts of many entries may be smaller than a token:
+// each is one with the probability of its size.
+func (b *aloneBucket) take(w state.Workspace, n int, answered, now time.Time) bool {
 	part := 1 / float64(max(1, n))
-	passed := max(0, now.Sub(b.filled).Seconds())
-	b.tokens = min(b.tokens+w.Rate*part*passed, max(1, w.Burst*part))
+	most := b.tolerance.spare(w.Rate, w.Burst) * part
+	if answered.After(b.filled) {
+		b.since = now
+	}
+	// What the holder leaves comes back within a window.
+	passed := max(0, now.Sub(b.filled))
+	refill := most * passed.Seconds() / b.tolerance.Window.Seconds()
+	if without := min(passed, now.Sub(b.since)-aloneSpan); without > 0 {
+		refill = w.Rate * part * without.Seconds()
+	}
+	b.tokens = min(b.tokens+refill, max(most, 1))
 	b.filled = now
 	if b.tokens < 1 {
-		// Small parts of many entries would never grow to a whole token: each is
-		// one with the probability of its size.
 		chance := b.tokens
 		b.tokens = 0
 		return rand.Float64() < chance
@@ -73,10 +92,16 @@
 	slot   int64
 }
 
+// windowSpan returns the length of one part of the window in which the grants of a
+// holder count: tokens are used up to a lifetime after their grant.
+func windowSpan(tolerated time.Duration) time.Duration {
+	return (tolerated + maxLifetime) / windowSpans
+}
+
 // newWindow returns a window that is full, as if an earlier holder had granted
 // the most that is tolerated.
-func newWindow(length time.Duration, total float64, now time.Time) *window {
-	w := &window{span: length / windowSpans}
+func newWindow(tolerated time.Duration, total float64, now time.Time) *window {
+	w := &window{span: windowSpan(tolerated)}
 	w.slot = now.UnixNano() / int64(w.span)
 	for i := range w.counts {
 		w.counts[i] = total / windowSpans
--- a/limit/await.go
+++ b/limit/await.go
@@ -12,29 +12,37 @@
 	return c.silentSince.After(c.answered) && now.Sub(c.silentSince) < retryHolder
 }
 
-// admitAlone admits a request from this entry's own part of a workspace's rate.
-func (s *Shared) admitAlone(w *state.Workspace, c *client, now time.Time) Admission {
-	if c.alone == nil {
-		c.alone = newAloneBucket(s.tolerance, *w, s.entries(), now)
+// admitAlone reports whether a request fits into this entry's own part of a
+// workspace's rate. An entry that does not know yet how many others there are has
+// none.
+func (s *Shared) admitAlone(w *state.Workspace, c *client, now time.Time) bool {
+	n := s.entries()
+	if n <= 0 {
+		return false
 	}
-	if c.alone.take(*w, s.entries(), now) {
-		return Admission{OK: true}
+	if c.alone == nil {
+		c.alone = newAloneBucket(s.tolerance, *w, n, now)
 	}
-	return Admission{Unavailable: true, RetryAfter: time.Second}
+	return c.alone.take(*w, n, c.answered, now)
 }
 
 // waitUntil returns the instant at which a request stops to wait for its token:
-// half of its time must be left for the work itself.
-func waitUntil(ctx context.Context, now time.Time) time.Time {
-	limit := patience
+// half of its time must be left for the work itself. A holder that is silent may be
+// gone for long, and is waited for less.
+func waitUntil(ctx context.Context, silent bool, now time.Time) time.Time {
+	limit, part := patience, time.Duration(2)
+	if silent {
+		limit, part = silentPatience, 4
+	}
 	if end, ok := ctx.Deadline(); ok {
-		limit = min(limit, time.Until(end)/2)
+		limit = min(limit, time.Until(end)/part)
 	}
 	return now.Add(limit)
 }
 
-// await waits for a token. Where a tolerance is given, a holder that says nothing is
-// waited for only for a short time.
+// await waits for a token. Where a tolerance is given and the holder says nothing,
+// the entry admits by itself what fits into its part, and waits a little longer with
+// the rest: a new holder is usually there within a second.
 func (s *Shared) await(ctx context.Context, w *state.Workspace, c *client, one *waiter, now time.Time) Admission {
 	limit := one.until.Sub(now)
 	first := limit
@@ -51,18 +59,36 @@
 		case <-ctx.Done():
 		}
 		s.mu.Lock()
-		if first < limit && ctx.Err() == nil && !c.answered.Before(now) {
-			// The holder has answered, and the token is to come.
-			first = limit
-			timer.Reset(limit - holderPatience)
+		if first >= limit || ctx.Err() != nil {
+			defer s.mu.Unlock()
+			return s.giveUp(w, c, one)
+		}
+		heard := !c.answered.Before(now)
+		if !heard && s.alone(w, c, one) {
 			s.mu.Unlock()
-			continue
+			return Admission{OK: true}
 		}
-		defer s.mu.Unlock()
-		return s.giveUp(w, c, one)
+		if !heard {
+			limit = max(first, waitUntil(ctx, true, now).Sub(now))
+			one.until = now.Add(limit)
+		}
+		s.mu.Unlock()
+		timer.Reset(limit - first)
+		first = limit
 	}
 }
 
+// alone admits a request that waits for a holder without a word of it, if it fits.
+func (s *Shared) alone(w *state.Workspace, c *client, one *waiter) bool {
+	now := s.clock.Now()
+	c.silentSince = now
+	if !s.admitAlone(w, c, now) {
+		return false
+	}
+	one.until = time.Time{}
+	return true
+}
+
 // giveUp ends the wait for a token.
 func (s *Shared) giveUp(w *state.Workspace, c *client, one *waiter) Admission {
 	select {
@@ -70,11 +96,9 @@
 		return a
 	default:
 	}
-	one.until = time.Time{}
-	if s.tolerance.Window <= 0 {
-		return Admission{Unavailable: true, RetryAfter: time.Second}
+	if s.tolerance.Window > 0 && s.alone(w, c, one) {
+		return Admission{OK: true}
 	}
-	now := s.clock.Now()
-	c.silentSince = now
-	return s.admitAlone(w, c, now)
+	one.until = time.Time{}
+	return Admission{Unavailable: true, RetryAfter: holderRetry}
 }
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -58,7 +58,7 @@
 		return b
 	}
 	b.tolerance = t
-	b.granted = newWindow(t.Window+maxLifetime, b.most(), now)
+	b.granted = newWindow(t.Window, b.most(), now)
 	return b
 }
 
--- a/limit/shared.go
+++ b/limit/shared.go
@@ -30,6 +30,11 @@
 	// holder where the entry may admit by itself. It covers a round trip between
 	// regions.
 	holderPatience = 150 * time.Millisecond
+	// silentPatience bounds the wait for a holder that has said nothing.
+	silentPatience = time.Second
+	// holderRetry is when a caller may come back that waited for a holder in vain: a
+	// new one has the shard within a lease and the time of a holder's first word.
+	holderRetry = lease.Duration
 	// retryHolder is how long a holder that did not answer is not waited for.
 	retryHolder = 500 * time.Millisecond
 	// idleShare is the time after which an unused share is forgotten.
@@ -131,12 +136,13 @@
 		s.mu.Unlock()
 		return Admission{RetryAfter: time.Second}
 	}
-	if c.silent(now) && s.tolerance.Window > 0 {
-		defer s.mu.Unlock()
+	silent := c.silent(now) && s.tolerance.Window > 0
+	if silent && s.admitAlone(w, c, now) {
 		s.refill(w.Name, c, now)
-		return s.admitAlone(w, c, now)
+		s.mu.Unlock()
+		return Admission{OK: true}
 	}
-	one := &waiter{answer: make(chan Admission, 1), until: waitUntil(ctx, now)}
+	one := &waiter{answer: make(chan Admission, 1), until: waitUntil(ctx, silent, now)}
 	c.waiting = append(c.waiting, one)
 	s.refill(w.Name, c, now)
 	s.mu.Unlock()
@@ -211,7 +217,7 @@
 		answer.NotHolder = true
 		return answer
 	}
-	if now.Before(since.Add(MaxWait)) {
+	if now.Before(since.Add(s.settling())) {
 		// Tokens that an earlier holder granted ahead may still come into use.
 		answer.NotHolder = true
 		return answer
@@ -227,6 +233,16 @@
 	return answer
 }
 
+// settling is the time for which a new holder grants nothing. Tokens of an earlier one
+// may still come into use, and a window that is counted as full must have room again:
+// a caller must not be told that it is over its rate because a holder is new.
+func (s *Shared) settling() time.Duration {
+	if s.tolerance.Window <= 0 {
+		return MaxWait
+	}
+	return MaxWait + windowSpan(s.tolerance.Window)
+}
+
 // bucket returns a workspace's bucket. One from an earlier time of holding is
 // replaced by an empty one, which starts to fill when no token of an earlier
 // holder can be ahead of time any more.
--- a/limit/tolerance_test.go
+++ b/limit/tolerance_test.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"context"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dottereldeal/dottereldeal/clock"
+	"github.com/dottereldeal/dottereldeal/link"
 	"github.com/dottereldeal/dottereldeal/state"
 	"github.com/dottereldeal/dottereldeal/wire"
 )
@@ -87,7 +89,7 @@
 		for range entries {
 			b := newAloneBucket(fiveSeconds, w, entries, start)
 			for now := start; now.Sub(start) < fiveSeconds.Window; now = now.Add(20 * time.Millisecond) {
-				if b.take(w, entries, now) {
+				if b.take(w, entries, time.Time{}, now) {
 					admitted++
 				}
 			}
@@ -113,7 +115,7 @@
 	for range plays {
 		for i := range demand {
 			b := newAloneBucket(fiveSeconds, w, entries, start)
-			if b.take(w, entries, start.Add(time.Duration(i)*time.Second/demand)) {
+			if b.take(w, entries, time.Time{}, start.Add(time.Duration(i)*time.Second/demand)) {
 				served++
 			}
 		}
@@ -124,6 +126,57 @@
 	}
 }
 
+// A workspace sends ten times its rate while its shard's holder is lost again and
+// again, each time for about a second, and an eighth of the entries never reach a
+// holder. Whatever holders and entries admit stays inside what is tolerated.
+func TestHoldersAndEntriesAloneTogetherKeepTheTolerance(t *testing.T) {
+	const (
+		entries = 40
+		cutOff  = 5
+		step    = 10 * time.Millisecond
+	)
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		w := state.Workspace{Name: "w", Rate: 10 + random.Float64()*100, Burst: 10 + random.Float64()*100}
+		start := time.Unix(9000, 0)
+		parts := make([]*aloneBucket, entries)
+		for i := range parts {
+			parts[i] = newAloneBucket(fiveSeconds, w, entries, start)
+		}
+		answered := make([]time.Time, entries)
+		var holder *Bucket
+		var used []time.Time
+		change := start
+		for now := start; now.Sub(start) < 20*time.Second; now = now.Add(step) {
+			if !now.Before(change) {
+				if holder != nil {
+					holder = nil
+					change = now.Add(time.Second)
+				} else {
+					holder = NewBucket(w.Rate, w.Burst, now).WithTolerance(fiveSeconds, now)
+					change = now.Add(time.Duration(1+random.IntN(4)) * time.Second)
+				}
+			}
+			for i := range parts {
+				if random.Float64() >= 10*w.Rate/entries*step.Seconds() {
+					continue
+				}
+				if holder != nil && i >= cutOff {
+					answered[i] = now
+					if holder.Take(1, 0, now).Tokens > 0 {
+						used = append(used, now)
+					}
+				} else if parts[i].take(w, entries, answered[i], now) {
+					used = append(used, now)
+				}
+			}
+		}
+		if most, limit := mostIn(used, fiveSeconds.Window), fiveSeconds.limit(w.Rate, w.Burst); float64(most) > limit {
+			t.Errorf("seed %d, rate %.0f, burst %.0f: %d in a window, tolerated %.0f", seed, w.Rate, w.Burst, most, limit)
+		}
+	}
+}
+
 // heldSince is a lease that this VM has held since an instant.
 type heldSince time.Time
 
@@ -143,3 +196,51 @@
 	answer := s.grant(&wire.TokenAsk{Workspace: "w", Tokens: 5}, now)
 	is.Equal(answer.GetTokens(), uint32(5))
 }
+
+// The window of a holder that is new counts as full. Until it has room, the holder is
+// not ready: a workspace inside its rate must not hear that it is over it.
+func TestNewHoldersSayTheyAreNotReadyInsteadOfOverRate(t *testing.T) {
+	now := time.Unix(9000, 0)
+	w := state.Workspace{Name: "w", Rate: 20, Burst: 20}
+	current := state.State{}.WithRecords(1, []state.Record{{Ref: w.Ref(), Object: w, Index: 1}})
+	granted := false
+	for age := time.Duration(0); age < 2*time.Second; age += 5 * time.Millisecond {
+		s := NewShared("e1", clock.NewManual(now), nil, heldSince(now.Add(-age)), func() state.State { return current }).
+			WithTolerance(fiveSeconds, func() int { return 40 })
+		answer := s.grant(&wire.TokenAsk{Workspace: "w", Tokens: 1}, now)
+		if !answer.GetNotHolder() && answer.GetTokens() == 0 {
+			t.Fatalf("%s after the takeover the first request is over the rate", age)
+		}
+		granted = granted || answer.GetTokens() > 0
+	}
+	is.New(t).True(granted)
+}
+
+// silentLink loses everything.
+type silentLink struct{ link.Link }
+
+func (silentLink) Send(string, *wire.Envelope) bool { return true }
+
+// heldByAnother is a lease of a VM that says nothing.
+type heldByAnother struct{}
+
+func (heldByAnother) Held(string) (time.Time, bool) { return time.Time{}, false }
+
+func (heldByAnother) Holder(string) (string, bool) { return "e2", true }
+
+// An entry that has just started and does not know the others yet has no part of any
+// rate: each of many such entries would take all of it.
+func TestEntriesThatDoNotKnowTheOthersAdmitNothingAlone(t *testing.T) {
+	is := is.New(t)
+	w := state.Workspace{Name: "w", Rate: 100, Burst: 100}
+	members := 0
+	s := NewShared("e1", clock.New(), silentLink{}, heldByAnother{}, func() state.State { return state.State{} }).
+		WithTolerance(fiveSeconds, func() int { return members })
+	ctx, cancel := context.WithTimeout(context.Background(), 800*time.Millisecond)
+	defer cancel()
+	admission := s.Admit(ctx, &w)
+	is.True(!admission.OK)
+	is.True(admission.Unavailable)
+	members = 4
+	is.True(s.Admit(context.Background(), &w).OK)
+}
--- a/proxy/kept_test.go
+++ b/proxy/kept_test.go
@@ -68,7 +68,9 @@
 	io.Copy(io.Discard, request.Body)
 	n := k.first.Add(1) - 1
 	io.WriteString(conn, keptAnswer(request.Header.Get(idHeader), "first"))
-	rest(n, conn, reader)
+	if rest != nil {
+		rest(n, conn, reader)
+	}
 }
 
 // keptAnswer returns the bytes of a whole answer.
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -24,6 +24,12 @@
 	bufferBytes = 64 << 10
 	// bufferWait is how long an answer of unknown length is held.
 	bufferWait = 50 * time.Millisecond
+	// startPatience bounds how long a request waits for the first configuration of a
+	// VM that has just started. After a power loss of the whole fleet one is there in
+	// half a second: less than a caller needs to come back. startPart is the part of
+	// the caller's time that it may take.
+	startPatience = 700 * time.Millisecond
+	startPart     = 4
 	// stallLimit is the time without progress after which a body is given up.
 	stallLimit = 15 * time.Second
 )
@@ -34,6 +40,9 @@
 	Views func() *View
 	// Serving returns why this VM must not serve, or nil.
 	Serving func() error
+	// Started is closed once this VM has had a configuration. Requests wait for it
+	// for a short time.
+	Started <-chan struct{}
 	Limiter limit.Limiter
 	Picker  pick.Picker
 	// Claim notes that a request with an idempotency key is about to run.
@@ -72,6 +81,9 @@
 // Serving sets the check whether this VM may serve.
 func Serving(f func() error) Option { return func(o *Options) { o.Serving = f } }
 
+// Started sets the channel that is closed with the first configuration.
+func Started(c <-chan struct{}) Option { return func(o *Options) { o.Started = c } }
+
 // Limiter sets the rates.
 func Limiter(l limit.Limiter) Option { return func(o *Options) { o.Limiter = l } }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -95,7 +95,9 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.metrics.requests.Inc()
-	x := &exchange{handler: h, writer: w, request: r, view: h.options.Views(), arrived: h.options.Clock.Now()}
+	x := &exchange{handler: h, writer: w, request: r, arrived: h.options.Clock.Now()}
+	x.awaitStart()
+	x.view = h.options.Views()
 	if p, refused := x.check(); refused {
 		x.refuse(p)
 		return
@@ -103,6 +105,30 @@
 	x.forward()
 }
 
+// awaitStart waits for the first configuration, if this VM has only just started.
+func (x *exchange) awaitStart() {
+	started := x.handler.options.Started
+	select {
+	case <-started:
+		return
+	default:
+	}
+	if started == nil {
+		return
+	}
+	limit := startPatience
+	if stated := x.statedTime(); stated > 0 {
+		limit = min(limit, stated/startPart)
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-started:
+	case <-timer.C:
+	case <-x.request.Context().Done():
+	}
+}
+
 // check finds route and workspace, and charges the rate.
 func (x *exchange) check() (problem, bool) {
 	if err := x.handler.options.Serving(); err != nil {
@@ -187,15 +213,25 @@
 // has stated how long it waits.
 func (x *exchange) timeLeft() (left time.Duration, stated bool) {
 	limit := time.Duration(x.route.Deadline)
-	if name := x.handler.options.Headers.CallerDeadline; name != "" {
-		ms, err := strconv.ParseInt(x.request.Header.Get(name), 10, 64)
-		if err == nil && ms > 0 {
-			limit, stated = min(limit, time.Duration(ms)*time.Millisecond), true
-		}
+	if said := x.statedTime(); said > 0 {
+		limit, stated = min(limit, said), true
 	}
 	return limit - x.handler.options.Clock.Now().Sub(x.arrived), stated
 }
 
+// statedTime returns how long the caller says that it waits, 0 if it does not say so.
+func (x *exchange) statedTime() time.Duration {
+	name := x.handler.options.Headers.CallerDeadline
+	if name == "" {
+		return 0
+	}
+	ms, err := strconv.ParseInt(x.request.Header.Get(name), 10, 64)
+	if err != nil || ms <= 0 {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 // forward sends the request to backend servers and the answer to the caller.
 func (x *exchange) forward() {
 	ctx, cancel := context.WithCancelCause(x.request.Context())
