Let new holders grant a part at once, and send less between data centres

For 0.6 s after it has won a shard a new holder granted nothing. It now has 7% of what is tolerated for that time, taken from the part of the entries alone; the bound of holders and entries together is tested with it. Voters now give signs only when no leader has been heard for 1.5 s, the list is sent when it is new and every 5 s, and a beacon comes once a second.

--- a/ctrl/watch.go
+++ b/ctrl/watch.go
@@ -11,7 +11,10 @@
 	// watcherLimit is the silence after which an entry gets no more pushes.
 	watcherLimit = 5 * time.Second
 	// beaconPeriod is the time between two beacons of the leader.
-	beaconPeriod = 500 * time.Millisecond
+	beaconPeriod = time.Second
+	// tellAgain is the time after which an entry is told again which control VMs there
+	// are, in case the last time was lost.
+	tellAgain = 5 * time.Second
 	// maxBulk is the number of entries that get a large delta at the same time.
 	maxBulk = 4
 	// bulkLimit is how long an entry holds such a place without asking for more.
@@ -42,6 +45,9 @@
 	brief bool
 	// bulkAt is when it was last sent a part of a large delta.
 	bulkAt time.Time
+	// told is the group of control VMs that the entry was told of last, at toldAt.
+	told   string
+	toldAt time.Time
 }
 
 // handleWatch notes an entry's acknowledgement and sends what it lacks.
@@ -78,10 +84,17 @@
 }
 
 // controls returns the addresses of all control VMs, for entries whose settings
-// name others.
-func (c *Control) controls() []*wire.Peer {
+// name others. An entry that has heard it lately is not told again.
+func (c *Control) controls(w *watcher) []*wire.Peer {
+	group := c.status.Load().Group
+	now := c.options.Clock.Now()
+	if name := group.String(); name != w.told || now.Sub(w.toldAt) > tellAgain {
+		w.told, w.toldAt = name, now
+	} else {
+		return nil
+	}
 	var list []*wire.Peer
-	for _, r := range c.status.Load().Group.Replicas() {
+	for _, r := range group.Replicas() {
 		list = append(list, &wire.Peer{Vm: r.VM, Addr: r.Addr})
 	}
 	return list
@@ -124,7 +137,7 @@
 		From: part.GetFrom(), To: part.GetTo(), RemovalsSince: part.GetRemovalsSince(),
 		Objects: part.GetObjects(), More: part.GetMore(), Part: part.GetPart(),
 		Beacon: c.beacon, Leader: c.leaderVM(*c.status.Load()),
-		Peers: c.peers(vm, w), Controls: c.controls(),
+		Peers: c.peers(vm, w), Controls: c.controls(w),
 	}
 }
 
--- a/entry/vouch.go
+++ b/entry/vouch.go
@@ -84,8 +84,8 @@
 	return v.fresh.Serving(s.Index(), s.Electors(), now)
 }
 
-// tick gives this VM's own sign if it is a lease voter, and notes when serving
-// stops and resumes.
+// tick gives this VM's own sign if it is a lease voter and no control leader is
+// heard, and notes when serving stops and resumes.
 func (v *voucher) tick(now time.Time) {
 	s := v.entry.State()
 	if v.mayVouch(s, now) {
@@ -116,7 +116,7 @@
 	if !v.vouched {
 		v.vouched = v.fresh.MayVouch(self, s.Index(), voters, now)
 	}
-	return v.vouched
+	return v.vouched && v.fresh.SignDue(now)
 }
 
 func (v *voucher) giveSign(s state.State) {
--- a/fresh/fresh.go
+++ b/fresh/fresh.go
@@ -130,6 +130,12 @@
 	return !f.leaderAt.IsZero() && now.Sub(f.leaderAt) <= Window
 }
 
+// SignDue reports whether the signs of the voters are needed: no control leader has
+// been heard for half of the window, so that there is time for them to spread.
+func (f *Freshness) SignDue(now time.Time) bool {
+	return f.leaderAt.IsZero() || now.Sub(f.leaderAt) > Window/2
+}
+
 // caughtUp returns an error if an index heard long enough ago is not held.
 func (f *Freshness) caughtUp(index uint64, now time.Time) error {
 	for len(f.pending) > 0 && f.pending[0].index <= index {
--- a/fresh/fresh_test.go
+++ b/fresh/fresh_test.go
@@ -59,3 +59,15 @@
 	is.True(!f.MayVouch("e1", 5, voters, start))
 	is.True(f.MayVouch("e1", 6, voters, start))
 }
+
+// Signs of the voters are needed only without a leader, and early enough to reach
+// every entry before the leader's last beacon stops to count.
+func TestVotersGiveSignsOnlyWithoutALeader(t *testing.T) {
+	is := is.New(t)
+	f := fresh.New()
+	is.True(f.SignDue(start))
+	f.HeardLeader(1, 1, 5, start)
+	is.True(!f.SignDue(start.Add(time.Second))) // a beacon comes every second
+	is.True(f.SignDue(start.Add(2 * time.Second)))
+	is.True(f.LeaderHeard(start.Add(2 * time.Second)))
+}
--- a/lease/leases.go
+++ b/lease/leases.go
@@ -14,11 +14,13 @@
 )
 
 const (
-	// Period is the time between two rounds of renewals.
-	Period = 200 * time.Millisecond
+	// Period is the time between two looks at the leases.
+	Period = 100 * time.Millisecond
+	// renewEvery is the time between two renewals of a lease.
+	renewEvery = 200 * time.Millisecond
 	// renewAt is the time left of a lease at which it is renewed. Two renewals may
 	// be lost before it ends.
-	renewAt = HeldFor - Period/2
+	renewAt = HeldFor - renewEvery + Period/2
 	// askBatch is the number of names in one request.
 	askBatch = 256
 )
--- a/limit/alone.go
+++ b/limit/alone.go
@@ -17,9 +17,12 @@
 }
 
 const (
-	// holderPart is the part of what is tolerated that the holder of a shard uses;
-	// the rest is for entries that do not reach it.
+	// holderPart is the part of what is tolerated that the holder of a shard uses,
+	// newPart the part that a new holder may use while an earlier one's grants still
+	// count, and alonePart the part of the entries that reach no holder.
 	holderPart = 0.85
+	newPart    = 0.07
+	alonePart  = 1 - holderPart - newPart
 	// aloneSpan is the time without a holder after which an entry's part of the rate
 	// itself comes back too. Until then what was granted before still counts.
 	aloneSpan = time.Second
@@ -30,10 +33,19 @@
 	return (rate*t.Window.Seconds()+burst)*(1+t.Excess) + t.Slack
 }
 
-// spare returns the number of requests in one window that the holder of a shard
-// leaves to the entries that do not reach it.
+// spare returns the number of requests in one window that are left to the entries
+// that do not reach the holder of a shard.
 func (t Tolerance) spare(rate, burst float64) float64 {
-	return (1 - holderPart) * t.limit(rate, burst)
+	return alonePart * t.limit(rate, burst)
+}
+
+// early returns the number of requests that the holder of a shard may grant while it
+// is new.
+func (t Tolerance) early(rate, burst float64) int {
+	if t.Window <= 0 {
+		return 0
+	}
+	return int(newPart * t.limit(rate, burst))
 }
 
 // aloneBucket is an entry's own part of a workspace's rate, for the time in which the
--- a/limit/shared.go
+++ b/limit/shared.go
@@ -77,8 +77,10 @@
 
 // owned is a bucket at the holder, valid for one time of holding.
 type owned struct {
-	bucket *Bucket
+	bucket *Bucket // nil while the holder is new
 	since  time.Time
+	// early is the number of tokens that may be granted while the holder is new.
+	early int
 }
 
 // client is an entry's side of one workspace.
@@ -218,9 +220,7 @@
 		return answer
 	}
 	if now.Before(since.Add(s.settling())) {
-		// Tokens that an earlier holder granted ahead may still come into use.
-		answer.NotHolder = true
-		return answer
+		return s.grantNew(m, w, since, answer)
 	}
 	b := s.bucket(w, since, now)
 	b.Return(min(int(m.GetReturned()), maxAhead), now)
@@ -233,8 +233,28 @@
 	return answer
 }
 
-// settling is the time for which a new holder grants nothing. Tokens of an earlier one
-// may still come into use, and a window that is counted as full must have room again:
+// grantNew answers an ask in the time in which this holder is new: from the part
+// that is set aside for it, or not at all. Tokens that an earlier holder granted
+// ahead may still come into use.
+func (s *Shared) grantNew(m *wire.TokenAsk, w state.Workspace, since time.Time, answer *wire.TokenAnswer) *wire.TokenAnswer {
+	o, ok := s.buckets[w.Name]
+	if !ok || !o.since.Equal(since) {
+		o = &owned{since: since, early: s.tolerance.early(w.Rate, w.Burst)}
+		s.buckets[w.Name] = o
+	}
+	n := min(int(m.GetTokens()), o.early)
+	if n <= 0 {
+		answer.NotHolder = true
+		return answer
+	}
+	o.early -= n
+	answer.Tokens = uint32(n)
+	answer.LifetimeMicros = uint64(lifetime(w.Rate, w.Burst).Microseconds())
+	return answer
+}
+
+// settling is the time for which a holder is new. Tokens of an earlier one may still
+// come into use, and a window that is counted as full must have room again:
 // a caller must not be told that it is over its rate because a holder is new.
 func (s *Shared) settling() time.Duration {
 	if s.tolerance.Window <= 0 {
@@ -248,7 +268,7 @@
 // holder can be ahead of time any more.
 func (s *Shared) bucket(w state.Workspace, since, now time.Time) *Bucket {
 	o, ok := s.buckets[w.Name]
-	if !ok || !o.since.Equal(since) {
+	if !ok || !o.since.Equal(since) || o.bucket == nil {
 		start := since.Add(MaxWait)
 		o = &owned{bucket: NewBucket(w.Rate, w.Burst, start).WithTolerance(s.tolerance, start), since: since}
 		s.buckets[w.Name] = o
--- a/limit/tolerance_test.go
+++ b/limit/tolerance_test.go
@@ -145,6 +145,8 @@
 		}
 		answered := make([]time.Time, entries)
 		var holder *Bucket
+		var since time.Time
+		early := 0
 		var used []time.Time
 		change := start
 		for now := start; now.Sub(start) < 20*time.Second; now = now.Add(step) {
@@ -153,7 +155,9 @@
 					holder = nil
 					change = now.Add(time.Second)
 				} else {
-					holder = NewBucket(w.Rate, w.Burst, now).WithTolerance(fiveSeconds, now)
+					since, early = now, fiveSeconds.early(w.Rate, w.Burst)
+					ready := now.Add(MaxWait)
+					holder = NewBucket(w.Rate, w.Burst, ready).WithTolerance(fiveSeconds, ready)
 					change = now.Add(time.Duration(1+random.IntN(4)) * time.Second)
 				}
 			}
@@ -162,8 +166,16 @@
 					continue
 				}
 				if holder != nil && i >= cutOff {
-					answered[i] = now
-					if holder.Take(1, 0, now).Tokens > 0 {
+					settled := now.Sub(since) >= MaxWait+windowSpan(fiveSeconds.Window)
+					granted := settled && holder.Take(1, 0, now).Tokens > 0
+					if !settled && early > 0 {
+						early--
+						granted = true
+					}
+					if granted || settled {
+						answered[i] = now
+					}
+					if granted || !settled && parts[i].take(w, entries, answered[i], now) {
 						used = append(used, now)
 					}
 				} else if parts[i].take(w, entries, answered[i], now) {
