Ask one control VM at a time for a first configuration, and let one push

Cause: an entry that starts asked all control VMs and seeds every 100 ms until it had a configuration, and each sent all of it; later each control VM that had been polled within 5 s pushed every change: five copies. Change: one control VM after the other is asked, beginning at one chosen by the VM's name; the second control VM that is polled does not push.

--- a/ctrl/watch.go
+++ b/ctrl/watch.go
@@ -100,12 +100,12 @@
 	return list
 }
 
-// pushDeltas sends new state to all watchers at once.
+// pushDeltas sends new state at once to all watchers that use this control VM.
 func (c *Control) pushDeltas() {
 	now := c.options.Clock.Now()
 	index := c.Ledger().State().Index()
 	for vm, w := range c.watchers {
-		if w.sent < index && now.Sub(w.heard) < watcherLimit {
+		if w.sent < index && !w.brief && now.Sub(w.heard) < watcherLimit {
 			c.sendDelta(vm, w)
 		}
 	}
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/dottereldeal/dottereldeal/event"
 	"github.com/dottereldeal/dottereldeal/fleet"
 	"github.com/dottereldeal/dottereldeal/proxy"
@@ -26,10 +28,12 @@
 
 	mu sync.Mutex
 	// controls names the control VMs, and current is the one in use.
-	controls   []string
-	seeds      []netip.AddrPort
-	current    int
-	other      int
+	controls []string
+	seeds    []netip.AddrPort
+	current  int
+	other    int
+	// first counts the asks for a first configuration.
+	first      uint64
 	heard      time.Time
 	assemblers map[string]*state.Assembler
 	// source is the VM that sends a large delta, and when its last part came.
@@ -42,6 +46,7 @@
 	return &follower{
 		entry: e, controls: e.options.Control.Names(), heard: e.options.Clock.Now(),
 		seeds: e.options.Seeds, assemblers: make(map[string]*state.Assembler),
+		first: xxhash.Sum64String(e.options.VM),
 	}
 }
 
@@ -52,49 +57,66 @@
 	f.seeds = seeds
 }
 
-// sources returns whom to ask: the control VM in use and another one, or all
-// control VMs and seeds while there is no configuration yet or none of them answers.
-// The other one finds out what a control VM that is cut off from its group, and
-// does not know yet, cannot say.
-func (f *follower) sources(now time.Time) []string {
+// sources returns whom to ask: the control VM in use, and another one that need not
+// push what is new. The other one finds out what a control VM that is cut off from
+// its group, and does not know yet, cannot say. Without an answer, all are asked.
+func (f *follower) sources(now time.Time) (used []string, other string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	silent := now.Sub(f.heard) > controlSilence
 	if silent && len(f.controls) > 0 {
 		f.current = (f.current + 1) % len(f.controls)
 	}
-	if f.entry.State().Index() > 0 && !silent && len(f.controls) > 0 {
+	if silent || len(f.controls) == 0 {
+		return f.known(), ""
+	}
+	f.other = (f.other + 1) % len(f.controls)
+	if f.other == f.current {
 		f.other = (f.other + 1) % len(f.controls)
-		if f.other == f.current {
-			f.other = (f.other + 1) % len(f.controls)
-		}
-		return slices.Compact([]string{f.controls[f.current], f.controls[f.other]})
 	}
-	sources := slices.Clone(f.controls)
+	if f.other != f.current {
+		other = f.controls[f.other]
+	}
+	return []string{f.controls[f.current]}, other
+}
+
+// known returns the names of the control VMs, and the addresses of the settings.
+func (f *follower) known() []string {
+	list := slices.Clone(f.controls)
 	for _, seed := range f.seeds {
-		sources = append(sources, seed.String())
+		list = append(list, seed.String())
 	}
-	return sources
+	return list
 }
 
 // tick asks a control VM, and a neighbour that is ahead, for what is new.
 func (f *follower) tick(now time.Time) {
 	index := f.entry.State().Index()
-	for _, vm := range f.sources(now) {
-		f.ask(vm, index)
+	used, other := f.sources(now)
+	for _, vm := range used {
+		f.ask(vm, index, false)
+	}
+	if other != "" {
+		f.ask(other, index, true)
 	}
 	if vm, ok := f.entry.fleet.Ahead(index); ok && !f.receiving(now) {
-		f.ask(vm, index)
+		f.ask(vm, index, false)
 	}
 }
 
-// tickFirst asks all control VMs while there is no configuration yet.
+// tickFirst asks one control VM after the other while there is no configuration yet:
+// each that is asked sends all of it. Entries start with different ones.
 func (f *follower) tickFirst(now time.Time) {
-	if f.entry.State().Index() > 0 {
+	if f.entry.State().Index() > 0 || f.receiving(now) {
 		return
 	}
-	for _, vm := range f.sources(now) {
-		f.ask(vm, 0)
+	f.mu.Lock()
+	known := f.known()
+	f.first++
+	at := f.first
+	f.mu.Unlock()
+	if len(known) > 0 {
+		f.ask(known[at%uint64(len(known))], 0, false)
 	}
 }
 
@@ -105,10 +127,12 @@
 	return now.Sub(f.sourceAt) < sourceSilence
 }
 
-// ask requests everything after an index, and acknowledges everything up to it.
-func (f *follower) ask(vm string, index uint64) {
+// ask requests everything after an index, and acknowledges everything up to it. A
+// brief one wants neither a large delta nor pushes.
+func (f *follower) ask(vm string, index uint64, brief bool) {
 	e := f.entry
-	to, part, brief := f.progress(vm)
+	to, part, elsewhere := f.progress(vm)
+	brief = brief || elsewhere
 	watch := &wire.Watch{
 		To: to, Part: part, Brief: brief,
 		Index: index, Addr: e.options.LinkAddr(e.listeners), DataCentre: e.options.DataCentre,
@@ -149,15 +173,15 @@
 		f.source, f.sourceAt = from, f.entry.options.Clock.Now()
 	}
 	if _, after, _ := a.Wants(); after != wanted && a.Pauses(d) {
-		go f.ask(from, before.Index())
+		go f.ask(from, before.Index(), false)
 	}
 	if err != nil || !changed {
 		return
 	}
 	f.sourceAt = time.Time{}
 	f.adopt(before, next)
-	if slices.Contains(f.controls, from) {
-		go f.ask(from, next.Index())
+	if at := slices.Index(f.controls, from); at >= 0 {
+		go f.ask(from, next.Index(), at != f.current)
 	}
 }
 
