Join parts of the fleet, give split votes back, and take over leases on demand

The logs show three groups of 18, 15 and 11 entries that did not know each other: each entry now asks one control VM first, is told of that VM's watchers only, and never again once it knows one. The hole was there before; asking all control VMs hid it. Change: control tells an entry of others as long as it knows fewer than control does, and a membership asks whoever is no member yet. Besides, each with a test that failed first: votes for a lease that are split are given back; the next in line takes a lease when its holder does not serve; elections are tried often until a leader is known; links bound their first dial to 250 ms and give it up when the peer connects (a VM without power answers nothing, and the system sends its request again after 1 s only); a place for a large delta is free once it has arrived.

--- a/ctrl/watch.go
+++ b/ctrl/watch.go
@@ -22,7 +22,7 @@
 	// silentWatcher is the silence after which an entry's last word on whether it
 	// serves no longer counts.
 	silentWatcher = time.Second
-	// maxPeers is the number of other entries told to one that has just started.
+	// maxPeers is the number of other entries told at a time to one that lacks some.
 	maxPeers = 4
 	// forgetWatcher is the silence after which an entry is no longer listed.
 	forgetWatcher = 10 * time.Minute
@@ -66,20 +66,30 @@
 	w.centre = m.GetDataCentre()
 	w.addr = m.GetAddr()
 	w.to, w.part, w.brief = m.GetTo(), m.GetPart(), m.GetBrief()
+	if w.index >= c.Ledger().State().Index() {
+		w.bulkAt = time.Time{} // it has all of a large delta
+	}
 	c.sendDelta(from, w)
 }
 
-// peers returns a few entries for one that knows no other.
+// peers returns a few entries for one that knows fewer than this control VM: it has
+// just started, or belongs to a part of the fleet that has not met the others yet.
 func (c *Control) peers(vm string, w *watcher) []*wire.Peer {
-	if w.members > 1 {
-		return nil
-	}
+	now := c.options.Clock.Now()
 	var list []*wire.Peer
+	present := 0
 	for other, known := range c.watchers {
-		if other != vm && len(list) < maxPeers && !known.leaving {
+		if known.leaving || now.Sub(known.heard) > silentWatcher {
+			continue
+		}
+		present++
+		if other != vm && len(list) < maxPeers {
 			list = append(list, &wire.Peer{Vm: other, Addr: known.addr})
 		}
 	}
+	if w.members >= present {
+		return nil
+	}
 	return list
 }
 
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -104,19 +104,28 @@
 	}
 }
 
-// tickFirst asks one control VM after the other while there is no configuration yet:
-// each that is asked sends all of it. Entries start with different ones.
+// tickFirst asks one control VM after the other while there is no configuration yet,
+// and a neighbour that has one: each that is asked sends all of it. Entries start with
+// different control VMs. After that it asks for a first sign of the leader, without
+// which this VM takes no part in leases.
 func (f *follower) tickFirst(now time.Time) {
-	if f.entry.State().Index() > 0 || f.receiving(now) {
+	index := f.entry.State().Index()
+	if index > 0 && !f.entry.vouch.unled() || f.receiving(now) {
 		return
 	}
 	f.mu.Lock()
 	known := f.known()
+	if index > 0 && len(f.controls) > 0 {
+		known = f.controls[f.current : f.current+1]
+	}
 	f.first++
 	at := f.first
 	f.mu.Unlock()
+	if vm, ok := f.entry.fleet.Ahead(index); ok {
+		f.ask(vm, index, false)
+	}
 	if len(known) > 0 {
-		f.ask(known[at%uint64(len(known))], 0, false)
+		f.ask(known[at%uint64(len(known))], index, false)
 	}
 }
 
@@ -205,6 +214,7 @@
 	if leader := slices.Index(f.controls, d.GetLeader()); leader >= 0 && leader != f.current {
 		f.current = leader
 		f.heard = f.entry.options.Clock.Now()
+		go f.ask(d.GetLeader(), f.entry.State().Index(), false)
 	}
 	for _, p := range d.GetPeers() {
 		if addr, err := netip.ParseAddrPort(p.GetAddr()); err == nil {
--- a/entry/vouch.go
+++ b/entry/vouch.go
@@ -84,6 +84,13 @@
 	return v.fresh.Serving(s.Index(), s.Electors(), now)
 }
 
+// unled reports whether no control leader has been heard since the start.
+func (v *voucher) unled() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.fresh.Led()
+}
+
 // tick gives this VM's own sign if it is a lease voter and no control leader is
 // heard, and notes when serving stops and resumes.
 func (v *voucher) tick(now time.Time) {
--- a/event/event.go
+++ b/event/event.go
@@ -40,6 +40,7 @@
 	ReplicaRemoved     Kind = "replica-removed"
 	LeaseWon           Kind = "lease-won"
 	LeaseLost          Kind = "lease-lost"
+	LeaseDoubted       Kind = "lease-doubted"
 	MemberJoined       Kind = "member-joined"
 	MemberLost         Kind = "member-lost"
 	TargetJoined       Kind = "target-joined"
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -116,6 +116,34 @@
 	return true
 }
 
+// addSeed learns of an entry, and asks it for the others if it is no member yet: it may
+// belong to a part of the fleet that this one has not met.
+func (c *core) addSeed(vm string) {
+	if !slices.Contains(c.seeds, vm) {
+		c.seeds = append(c.seeds, vm)
+	}
+	if _, member := c.members[vm]; !member {
+		c.askSeed(vm)
+	}
+}
+
+func (c *core) askSeed(vm string) {
+	c.reply(vm, gossip{items: []Item{c.self.item()}, index: c.index, sums: slices.Clone(c.board.sums[:])})
+}
+
+// setIndex notes which configuration this entry holds. Its first one is told to the
+// neighbours at once: they may be waiting for theirs.
+func (c *core) setIndex(index uint64) {
+	first := c.index == 0 && index > 0
+	c.index = index
+	if !first {
+		return
+	}
+	for vm := range c.neighbours {
+		c.reply(vm, gossip{index: index})
+	}
+}
+
 // receive handles a message of another entry.
 func (c *core) receive(from string, g gossip, now time.Time) {
 	if n, ok := c.neighbours[from]; ok {
@@ -218,7 +246,7 @@
 func (c *core) greet() {
 	if len(c.neighbours) == 0 && c.ticks%askEvery == 1 {
 		for _, seed := range c.seeds {
-			c.reply(seed, gossip{items: []Item{c.self.item()}, index: c.index, sums: slices.Clone(c.board.sums[:])})
+			c.askSeed(seed)
 		}
 		return
 	}
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -191,3 +191,19 @@
 		c.effects()
 	})
 }
+
+// After a power loss entries meet those that asked the same control VM first: two parts
+// of the fleet that do not know of each other. One word of one member joins them.
+func TestTwoPartsOfAFleetBecomeOne(t *testing.T) {
+	w := newNet(24)
+	for i := range 24 {
+		vm := fmt.Sprintf("z%02d", i)
+		w.cores[vm] = newCore(Member{VM: vm, Addr: "127.0.0.1:1", Condition: Alive, Boot: 1}, []string{"z00"}, w.now)
+		w.homes[vm] = newHomes(vm)
+	}
+	w.run(5 * time.Second)
+	w.agree(t, 24)
+	w.cores["e01"].addSeed("z03")
+	w.run(3 * time.Second)
+	w.agree(t, 48)
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -94,9 +94,7 @@
 
 // SetIndex tells the neighbours how new this entry's configuration is.
 func (f *Fleet) SetIndex(index uint64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.core.index = index
+	f.step(func(time.Time) { f.core.setIndex(index) })
 }
 
 // Ahead returns a neighbour with a newer configuration than index, if any.
@@ -129,11 +127,7 @@
 		return
 	}
 	f.link.SetPeer(vm, addr)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !slices.Contains(f.core.seeds, vm) {
-		f.core.seeds = append(f.core.seeds, vm)
-	}
+	f.step(func(time.Time) { f.core.addSeed(vm) })
 }
 
 // Members returns the entries that take part, in order of name.
--- a/fresh/fresh.go
+++ b/fresh/fresh.go
@@ -130,6 +130,9 @@
 	return !f.leaderAt.IsZero() && now.Sub(f.leaderAt) <= Window
 }
 
+// Led reports whether a control leader has ever been heard.
+func (f *Freshness) Led() bool { return !f.leaderAt.IsZero() }
+
 // SignDue reports whether the signs of the voters are needed: no control leader has
 // been heard for half of the window, so that there is time for them to spread.
 func (f *Freshness) SignDue(now time.Time) bool {
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -1,15 +1,27 @@
 package lease
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
-// maxRounds bounds the unanswered rounds that a holder remembers.
-const maxRounds = 16
+const (
+	// maxRounds bounds the unanswered rounds that a holder remembers.
+	maxRounds = 16
+	// leastPause and mostPause bound the wait of an owner that has given votes back.
+	// One of two that split the votes must be through with a round, a few
+	// milliseconds, before the other asks again.
+	leastPause = 50 * time.Millisecond
+	mostPause  = 300 * time.Millisecond
+)
 
 // Holder is an owner's side of its leases.
 type Holder struct {
 	seq    uint64
 	rounds map[uint64]*round
 	leases map[string]owned
+	// paused says until when names are not asked for.
+	paused map[string]time.Time
 }
 
 // round is one request to all voters.
@@ -17,7 +29,9 @@
 	sent   time.Time
 	voters []string
 	grants map[string]map[string]bool // name to the voters that granted it
-	epochs map[string]uint64
+	// refused counts the voters that granted a name to another owner, or to none.
+	refused map[string]int
+	epochs  map[string]uint64
 }
 
 // owned is a lease that is held, or was.
@@ -29,14 +43,19 @@
 
 // NewHolder returns a holder of nothing.
 func NewHolder() *Holder {
-	return &Holder{rounds: make(map[uint64]*round), leases: make(map[string]owned)}
+	return &Holder{
+		rounds: make(map[uint64]*round), leases: make(map[string]owned), paused: make(map[string]time.Time),
+	}
 }
 
 // Begin starts a round for some names and returns its number. The caller sends
 // the request after this, so that sent is not after the voters' receipt.
 func (h *Holder) Begin(names, voters []string, now time.Time) uint64 {
 	h.seq++
-	r := &round{sent: now, voters: voters, grants: make(map[string]map[string]bool), epochs: make(map[string]uint64)}
+	r := &round{
+		sent: now, voters: voters, grants: make(map[string]map[string]bool),
+		refused: make(map[string]int), epochs: make(map[string]uint64),
+	}
 	for _, name := range names {
 		r.grants[name] = make(map[string]bool)
 	}
@@ -45,28 +64,50 @@
 	return h.seq
 }
 
-// Answer takes a voter's grants and returns the names that were won by them: not
-// held just before, and held now.
-func (h *Holder) Answer(voter string, seq uint64, grants []Grant, now time.Time) []string {
+// Answer takes a voter's grants. It returns the names that were won by them: not held
+// just before, and held now; and those whose votes are split, so that this owner must
+// give its votes back.
+func (h *Holder) Answer(voter string, seq uint64, grants []Grant, now time.Time) (won, split []string) {
 	r, ok := h.rounds[seq]
 	if !ok || !contains(r.voters, voter) {
-		return nil
+		return nil, nil
 	}
-	var won []string
 	for _, g := range grants {
 		granted, asked := r.grants[g.Name]
-		if !asked || !g.Granted {
+		if !asked {
 			continue
 		}
-		granted[voter] = true
-		r.epochs[g.Name] = max(r.epochs[g.Name], g.Epoch)
-		if len(granted) > len(r.voters)/2 && h.extend(g.Name, r, now) {
+		if !g.Granted {
+			r.refused[g.Name]++
+		} else {
+			granted[voter] = true
+			r.epochs[g.Name] = max(r.epochs[g.Name], g.Epoch)
+		}
+		switch {
+		case g.Granted && len(granted) > len(r.voters)/2 && h.extend(g.Name, r, now):
 			won = append(won, g.Name)
+		case h.isSplit(g.Name, r, now):
+			split = append(split, g.Name)
+			h.paused[g.Name] = now.Add(leastPause + rand.N(mostPause-leastPause))
 		}
 	}
-	return won
+	return won, split
+}
+
+// isSplit reports whether a round got some votes for a name and can get no majority.
+//
+// The pattern it answers: entries that start at the same time know different members,
+// several of them think that a name is theirs, and each renews the votes that it has.
+func (h *Holder) isSplit(name string, r *round, now time.Time) bool {
+	if _, held := h.Held(name, now); held {
+		return false
+	}
+	return len(r.grants[name]) > 0 && r.refused[name] >= len(r.voters)-len(r.voters)/2
 }
 
+// Paused reports whether a name must not be asked for yet.
+func (h *Holder) Paused(name string, now time.Time) bool { return now.Before(h.paused[name]) }
+
 // extend holds a lease from the sending of the round on, and reports whether it
 // was not held before.
 func (h *Holder) extend(name string, r *round, now time.Time) bool {
@@ -93,6 +134,18 @@
 	return o.since, ok && now.Before(o.until)
 }
 
+// Expired forgets the leases that have ended and returns their names.
+func (h *Holder) Expired(now time.Time) []string {
+	var names []string
+	for name, o := range h.leases {
+		if !now.Before(o.until) {
+			names = append(names, name)
+			delete(h.leases, name)
+		}
+	}
+	return names
+}
+
 // Left returns the time until a lease ends.
 func (h *Holder) Left(name string, now time.Time) time.Duration {
 	return h.leases[name].until.Sub(now)
--- a/lease/leases.go
+++ b/lease/leases.go
@@ -40,6 +40,7 @@
 	// clean says that this VM has run, up to date, while it was no voter.
 	clean   bool
 	holders map[string]Owner
+	doubts  *doubts
 }
 
 // New returns an entry's part in the leases. Tick must be called every Period.
@@ -50,6 +51,7 @@
 		voter:   NewVoter(o.Clock.Now().Add(Duration + Duration/marginPart)),
 		holder:  NewHolder(),
 		holders: make(map[string]Owner),
+		doubts:  newDoubts(),
 	}
 	f.Watch(fleet.KindLease, s.noteHolder)
 	return s
@@ -87,8 +89,9 @@
 // Tick renews leases and takes those that nobody holds.
 func (l *Leases) Tick(now time.Time) {
 	l.noteClean()
-	voters := l.options.Voters()
-	if len(voters) == 0 || l.options.Fresh() != nil {
+	voters, fresh := l.options.Voters(), l.options.Fresh()
+	l.noteLost(fresh, now)
+	if len(voters) == 0 || fresh != nil {
 		return
 	}
 	members, boots := l.liveMembers()
@@ -103,6 +106,21 @@
 	}
 }
 
+// noteLost logs the leases that have ended without being renewed, and what speaks
+// against renewing them, if anything does.
+func (l *Leases) noteLost(fresh error, now time.Time) {
+	l.mu.Lock()
+	lost := l.holder.Expired(now)
+	l.mu.Unlock()
+	detail := "not renewed in time"
+	if fresh != nil {
+		detail = "not renewed: " + fresh.Error()
+	}
+	for _, name := range lost {
+		l.options.Line.Record(event.LeaseLost, name, detail)
+	}
+}
+
 // noteClean lets the voter grant at once if it cannot have voted before.
 func (l *Leases) noteClean() {
 	if l.options.Fresh() != nil {
@@ -144,6 +162,13 @@
 			}
 			continue
 		}
+		if l.holder.Paused(name, now) {
+			continue
+		}
+		if l.doubts.needed(name, now) {
+			names = append(names, name)
+			continue
+		}
 		holder, known := l.holders[name]
 		mine := known && holder.VM == l.options.VM
 		present := known && !mine && boots[holder.VM] == holder.Boot
@@ -177,6 +202,10 @@
 		}
 	case *wire.Envelope_LeaseAnswer:
 		l.takeAnswer(from, body.LeaseAnswer)
+	case *wire.Envelope_LeaseNeed:
+		l.mu.Lock()
+		l.doubts.need(body.LeaseNeed.GetNames(), l.options.Clock.Now())
+		l.mu.Unlock()
 	default:
 		return false
 	}
@@ -212,11 +241,30 @@
 		grants = append(grants, Grant{Name: g.GetName(), Granted: g.GetGranted(), Epoch: g.GetEpoch()})
 	}
 	l.mu.Lock()
-	won := l.holder.Answer(from, m.GetSeq(), grants, l.options.Clock.Now())
+	won, split := l.holder.Answer(from, m.GetSeq(), grants, l.options.Clock.Now())
 	l.mu.Unlock()
 	for _, name := range won {
 		l.announce(name)
 	}
+	l.giveBack(split)
+}
+
+// giveBack gives up names, and the votes for them.
+func (l *Leases) giveBack(names []string) {
+	if len(names) == 0 {
+		return
+	}
+	l.mu.Lock()
+	seq := l.holder.Drop(names)
+	l.mu.Unlock()
+	release := &wire.LeaseAsk{Names: names, Boot: l.options.Boot, Seq: seq, Release: true}
+	for _, vm := range l.options.Voters() {
+		if vm == l.options.VM {
+			l.vote(vm, release)
+			continue
+		}
+		l.link.Send(vm, &wire.Envelope{Body: &wire.Envelope_LeaseAsk{LeaseAsk: release}})
+	}
 }
 
 // announce tells the fleet that this VM holds a lease.
@@ -248,6 +296,46 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.holders[item.Key.Name] = Owner{VM: body.GetVm(), Boot: body.GetBoot()}
+	l.doubts.clear(item.Key.Name)
+}
+
+// Trust notes that the holder of a lease serves.
+func (l *Leases) Trust(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.doubts.clear(name)
+}
+
+// Doubted reports whether the holder of a lease has failed to serve just now.
+func (l *Leases) Doubted(name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.doubts.fresh(name, l.options.Clock.Now())
+}
+
+// Doubt notes that the holder of a lease says nothing, or that it does not hold it.
+// When that goes on, the next in line is asked to take the lease: voters give it to
+// no one as long as the holder renews it.
+func (l *Leases) Doubt(name string) {
+	now := l.options.Clock.Now()
+	l.mu.Lock()
+	holder := l.holders[name]
+	due := l.doubts.add(name, now)
+	l.mu.Unlock()
+	if !due {
+		return
+	}
+	members, _ := l.liveMembers()
+	others := slices.DeleteFunc(members, func(vm string) bool { return vm == holder.VM })
+	next := fleet.Choose(name, others)
+	l.options.Line.Record(event.LeaseDoubted, name, "held by "+holder.VM+", next is "+next)
+	if next == l.options.VM {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.doubts.need([]string{name}, now)
+		return
+	}
+	l.link.Send(next, &wire.Envelope{Body: &wire.Envelope_LeaseNeed{LeaseNeed: &wire.LeaseNeed{Names: []string{name}}}})
 }
 
 // Stop gives all leases back, before a planned stop.
@@ -255,16 +343,8 @@
 	l.mu.Lock()
 	l.stopping = true
 	names := l.holder.Names(l.options.Clock.Now())
-	seq := l.holder.Drop(names)
 	l.mu.Unlock()
-	release := &wire.LeaseAsk{Names: names, Boot: l.options.Boot, Seq: seq, Release: true}
-	for _, vm := range l.options.Voters() {
-		if vm == l.options.VM {
-			l.vote(vm, release)
-			continue
-		}
-		l.link.Send(vm, &wire.Envelope{Body: &wire.Envelope_LeaseAsk{LeaseAsk: release}})
-	}
+	l.giveBack(names)
 	for _, name := range names {
 		l.options.Line.Record(event.LeaseLost, name, "given back")
 	}
--- a/lease/schedule_test.go
+++ b/lease/schedule_test.go
@@ -163,7 +163,9 @@
 		s.voters[p.voter].Release(owner, p.seq, names, s.voterNow(p.voter))
 	case p.grants != nil && p.boot != s.boots[p.owner]:
 	case p.grants != nil:
-		s.owners[p.owner].Answer(s.names[p.voter], p.seq, p.grants, s.ownerNow(p.owner))
+		if _, split := s.owners[p.owner].Answer(s.names[p.voter], p.seq, p.grants, s.ownerNow(p.owner)); len(split) > 0 {
+			s.release(p.owner)
+		}
 	default:
 		p.grants = s.voters[p.voter].Ask(owner, p.seq, names, s.voterNow(p.voter))
 		s.post(p)
@@ -198,3 +200,51 @@
 		t.Fatal("no lease was ever held")
 	}
 }
+
+// Three owners ask for the same name at the same time, again and again, and split the
+// votes. One of them must have it soon, not after all have renewed their votes for as
+// long as they ask.
+func TestSplitVotesAreGivenBack(t *testing.T) {
+	const voters, step = 7, 5 * time.Millisecond
+	var names []string
+	for i := range voters {
+		names = append(names, fmt.Sprint("v", i))
+	}
+	for range 50 {
+		var nodes []*Voter
+		for range voters {
+			nodes = append(nodes, NewVoter(time.Time{}))
+		}
+		owners := []*Holder{NewHolder(), NewHolder(), NewHolder()}
+		start := time.Unix(9000, 0)
+		won := time.Duration(0)
+		for now := start; won == 0 && now.Sub(start) < 5*time.Second; now = now.Add(step) {
+			for i, o := range owners {
+				id := Owner{VM: fmt.Sprint("o", i), Boot: 1}
+				if now.Sub(start)%Period != 0 || o.Paused(scheduleName, now) {
+					continue
+				}
+				seq := o.Begin([]string{scheduleName}, names, now)
+				for v := range voters {
+					if now.Equal(start) && v%len(owners) != i {
+						continue // the first asks cross: another one was faster there
+					}
+					_, split := o.Answer(names[v], seq, nodes[v].Ask(id, seq, []string{scheduleName}, now), now)
+					if len(split) > 0 {
+						seq := o.Drop(split)
+						for _, node := range nodes {
+							node.Release(id, seq, split, now)
+						}
+						break
+					}
+				}
+				if _, held := o.Held(scheduleName, now); held {
+					won = now.Sub(start)
+				}
+			}
+		}
+		if won == 0 || won > time.Second {
+			t.Fatalf("a lease was won after %s", won)
+		}
+	}
+}
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -34,6 +34,10 @@
 	addr *net.TCPAddr
 }
 
+func (fixedLeases) Trust(string) {}
+
+func (fixedLeases) Doubt(string) {}
+
 func startNodes(t *testing.T, current func() state.State, vms ...string) []*node {
 	t.Helper()
 	c := clock.New()
--- a/limit/shared.go
+++ b/limit/shared.go
@@ -53,6 +53,9 @@
 	Held(name string) (since time.Time, held bool)
 	// Holder returns the VM that was last heard to hold it.
 	Holder(name string) (string, bool)
+	// Trust notes that a holder serves, and Doubt that it does not.
+	Trust(name string)
+	Doubt(name string)
 }
 
 // Shared is a Limiter that counts over the whole fleet. The holder of a
@@ -181,6 +184,9 @@
 		c.share.Forget()
 		c.holder = holder
 	}
+	if !c.asked.IsZero() && holder != s.vm {
+		s.leases.Doubt(ShardOf(workspace)) // the ask before this one was not answered
+	}
 	c.seq++
 	c.asked = now
 	ask := &wire.TokenAsk{
@@ -292,13 +298,13 @@
 func (s *Shared) take(workspace string, c *client, m *wire.TokenAnswer, now time.Time) {
 	sent := c.asked
 	c.asked = time.Time{}
-	if !m.GetNotHolder() {
-		c.answered = now
-	}
 	if m.GetNotHolder() {
+		s.leases.Doubt(ShardOf(workspace))
 		c.asked = now.Add(holderPause - askTimeout) // asks again after a pause
 		return
 	}
+	c.answered = now
+	s.leases.Trust(ShardOf(workspace))
 	g := Grant{
 		Tokens:   int(m.GetTokens()),
 		Wait:     time.Duration(m.GetWaitMicros()) * time.Microsecond,
--- a/limit/tolerance_test.go
+++ b/limit/tolerance_test.go
@@ -196,6 +196,10 @@
 
 func (heldSince) Holder(string) (string, bool) { return "e1", true }
 
+func (heldSince) Trust(string) {}
+
+func (heldSince) Doubt(string) {}
+
 // A bucket is made when its workspace sends its first request, which may be long
 // after this VM took over its shard. Earlier holders no longer count then.
 func TestFirstRequestsLongAfterATakeoverAreServed(t *testing.T) {
@@ -240,6 +244,10 @@
 
 func (heldByAnother) Holder(string) (string, bool) { return "e2", true }
 
+func (heldByAnother) Trust(string) {}
+
+func (heldByAnother) Doubt(string) {}
+
 // An entry that has just started and does not know the others yet has no part of any
 // rate: each of many such entries would take all of it.
 func TestEntriesThatDoNotKnowTheOthersAdmitNothingAlone(t *testing.T) {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -1,6 +1,7 @@
 package link_test
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -137,3 +138,43 @@
 		time.Sleep(10 * time.Microsecond)
 	}
 }
+
+// A VM without power answers nothing, and the system sends its request for a connection
+// again only after a second. When the VM is back and connects itself, that connection is
+// used at once, and a new try does not wait for the old one.
+func TestADialThatIsNotAnsweredDelaysNothing(t *testing.T) {
+	is := is.New(t)
+	var dark atomic.Bool
+	dark.Store(true)
+	dial := func(ctx context.Context, addr string) (net.Conn, error) {
+		if dark.Load() {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	}
+	a, b, c := start(t, "a", link.Dial(dial)), start(t, "b"), start(t, "c")
+	a.SetPeer("b", b.addr)
+	a.SetPeer("c", c.addr)
+	b.SetPeer("a", a.addr)
+	began := time.Now()
+	a.Send("b", watch(1))
+	a.Send("c", watch(1))
+	time.Sleep(50 * time.Millisecond)
+	b.Send("a", watch(2)) // b has its power back
+	is.Equal(next(t, a.received), uint64(2))
+	is.Equal(next(t, b.received), uint64(1)) // the message of the dial that was given up
+	a.Send("b", watch(3))
+	is.Equal(next(t, b.received), uint64(3))
+	is.True(time.Since(began) < 250*time.Millisecond)
+	dark.Store(false) // c has its power back, and says nothing
+	for {
+		a.Send("c", watch(4))
+		select {
+		case <-c.received:
+			is.True(time.Since(began) < time.Second)
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
--- a/link/mesh.go
+++ b/link/mesh.go
@@ -176,7 +176,7 @@
 func (m *mesh) peerLocked(vm string) *peer {
 	p, ok := m.peers[vm]
 	if !ok {
-		p = &peer{mesh: m, vm: vm, queue: make(chan queued, m.options.Queue)}
+		p = &peer{mesh: m, vm: vm, queue: make(chan queued, m.options.Queue), offered: make(chan struct{}, 1)}
 		m.peers[vm] = p
 		m.group.Go(p.run)
 	}
--- a/link/options.go
+++ b/link/options.go
@@ -11,8 +11,11 @@
 )
 
 const (
-	defaultQueue     = 256
-	maxMessageBytes  = 32 << 20
+	defaultQueue    = 256
+	maxMessageBytes = 32 << 20
+	// firstDial bounds the first try of a connection, and dialTimeout a later one; each
+	// takes up to twice the one before. firstDial covers round trips between regions.
+	firstDial        = 250 * time.Millisecond
 	dialTimeout      = 2 * time.Second
 	handshakeTimeout = 5 * time.Second
 	writeTimeout     = 2 * time.Second
@@ -60,6 +63,11 @@
 // Queue sets how many messages wait for one peer.
 func Queue(n int) Option { return func(o *Options) { o.Queue = n } }
 
+// Dial sets how TCP connections are opened.
+func Dial(f func(ctx context.Context, addr string) (net.Conn, error)) Option {
+	return func(o *Options) { o.Dial = f }
+}
+
 // Drop sets a function that loses messages, for tests of partitions.
 func Drop(f func(to string) bool) Option { return func(o *Options) { o.Drop = f } }
 
--- a/link/peer.go
+++ b/link/peer.go
@@ -32,6 +32,12 @@
 	session *yamux.Session // usable for sending, dialled by either side
 	dialled bool           // this side dialled session
 	stream  *yamux.Stream
+	// giveUp ends a dial under way.
+	giveUp context.CancelFunc
+	// patience bounds the next dial.
+	patience time.Duration
+	// offered gets a value when the peer has opened a session.
+	offered chan struct{}
 }
 
 // addrChanged drops a connection to the old address.
@@ -62,6 +68,13 @@
 	}
 	p.stream = nil
 	p.session, p.dialled = s, false
+	if p.giveUp != nil {
+		p.giveUp()
+	}
+	select {
+	case p.offered <- struct{}{}:
+	default:
+	}
 }
 
 func (p *peer) dropSession() {
@@ -110,12 +123,15 @@
 }
 
 // pause waits after a failure and then discards what was queued meanwhile:
-// it is out of date, and protocols repeat what matters.
+// it is out of date, and protocols repeat what matters. A session that the peer opens
+// ends the wait.
 func (p *peer) pause(d time.Duration) {
 	jitter := time.Duration(rand.Int64N(int64(d)))
 	select {
 	case <-p.mesh.ctx.Done():
 		return
+	case <-p.offered:
+		return
 	case <-time.After(d/2 + jitter):
 	}
 	for {
@@ -170,7 +186,9 @@
 	if session == nil {
 		var err error
 		if session, err = p.dial(); err != nil {
-			return nil, err
+			if session = p.usable(); session == nil {
+				return nil, err
+			}
 		}
 	}
 	stream, err := session.OpenStream()
@@ -191,13 +209,36 @@
 	return stream, nil
 }
 
+// usable returns the open session, or nil.
+func (p *peer) usable() *yamux.Session {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.session == nil || p.session.IsClosed() {
+		return nil
+	}
+	return p.session
+}
+
+// dialContext bounds a dial. The first one is short: the peer's VM may be without power
+// and answer nothing, and is back before the system sends its request again. A session
+// that the peer opens ends it.
+func (p *peer) dialContext() (context.Context, context.CancelFunc) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	limit := max(p.patience, firstDial)
+	p.patience = min(2*limit, dialTimeout)
+	ctx, cancel := context.WithTimeout(p.mesh.ctx, limit)
+	p.giveUp = cancel
+	return ctx, cancel
+}
+
 // dial opens a session to the peer's address.
 func (p *peer) dial() (*yamux.Session, error) {
 	addr := p.mesh.addr(p.vm)
 	if !addr.IsValid() {
 		return nil, ErrNoAddress
 	}
-	ctx, cancel := context.WithTimeout(p.mesh.ctx, dialTimeout)
+	ctx, cancel := p.dialContext()
 	defer cancel()
 	conn, err := p.mesh.options.Dial(ctx, addr.String())
 	if err != nil {
@@ -220,6 +261,7 @@
 	}
 	p.mu.Lock()
 	p.session, p.dialled, p.stream = session, true, nil
+	p.patience = firstDial
 	p.mu.Unlock()
 	p.mesh.group.Go(func() { p.mesh.serveSession(session, state, nameOf(p.vm)) })
 	return session, nil
--- a/quorum/append.go
+++ b/quorum/append.go
@@ -102,6 +102,10 @@
 	}
 	c.leader = leader
 	c.elapsed = 0
+	if !c.led {
+		c.led = true
+		c.resetTimeout()
+	}
 }
 
 // merge appends the entries that the log does not hold yet.
--- a/quorum/core.go
+++ b/quorum/core.go
@@ -27,8 +27,10 @@
 	// older holds the groups before the current one that are not committed yet.
 	older []groupAt
 
-	elapsed  int
-	timeout  int
+	elapsed int
+	timeout int
+	// led says that a leader has been known since the start.
+	led      bool
 	progress map[ID]*progress
 	votes    map[ID]bool
 	round    uint64
@@ -89,9 +91,6 @@
 	}
 	c.saved = c.log.last()
 	c.resetTimeout()
-	// After a restart there may be no leader at all. Where there is one, the others
-	// hear it and grant no pre-vote.
-	c.timeout = firstTicks + c.options.Random.IntN(c.options.ElectionTicks)
 	return c, nil
 }
 
@@ -281,6 +280,7 @@
 	}
 	c.role = Follower
 	c.leader = leader
+	c.led = c.led || leader != 0
 	c.progress = nil
 	c.votes = nil
 	c.reads = nil
@@ -288,8 +288,15 @@
 	c.resetTimeout()
 }
 
+// resetTimeout draws the time until the next election. After a start there may be no
+// leader at all, and the others may start a little later: elections are tried often
+// until one is known. Where there is one, the others hear it and grant no pre-vote.
 func (c *Core) resetTimeout() {
 	c.elapsed = 0
+	if !c.led {
+		c.timeout = firstTicks + c.options.Random.IntN(max(1, c.options.ElectionTicks/2))
+		return
+	}
 	c.timeout = c.options.ElectionTicks + c.options.Random.IntN(c.options.ElectionTicks)
 }
 
--- a/quorum/elect.go
+++ b/quorum/elect.go
@@ -91,6 +91,7 @@
 func (c *Core) becomeLeader() {
 	c.role = Leader
 	c.leader = c.id
+	c.led = true
 	c.elapsed = 0
 	c.votes = nil
 	c.reads = nil
--- a/quorum/options.go
+++ b/quorum/options.go
@@ -5,7 +5,8 @@
 const (
 	defaultElectionTicks = 10
 	defaultBatchBytes    = 1 << 20
-	// firstTicks is the least number of ticks from the start to an election.
+	// firstTicks is the least number of ticks to an election while no leader is known
+	// since the start.
 	firstTicks         = 2
 	maxInFlight        = 64
 	keepBehindSnapshot = 512
