Wait longer for the first configuration and for a first holder

A quarter of that ended 0.1 s before the configuration came (0.45 s after the start, measured from logs), and where nobody is known to hold a shard a request waited 0.15 s before its entry admitted it alone.

--- a/limit/await.go
+++ b/limit/await.go
@@ -28,11 +28,11 @@
 
 // waitUntil returns the instant at which a request stops to wait for its token:
 // half of its time must be left for the work itself. A holder that is silent may be
-// gone for long, and is waited for less.
+// gone for long, and is waited for less: a new one is there within a second.
 func waitUntil(ctx context.Context, silent bool, now time.Time) time.Time {
 	limit, part := patience, time.Duration(2)
 	if silent {
-		limit, part = silentPatience, 4
+		limit, part = silentPatience, 3
 	}
 	if end, ok := ctx.Deadline(); ok {
 		limit = min(limit, time.Until(end)/part)
--- a/limit/shared.go
+++ b/limit/shared.go
@@ -141,7 +141,7 @@
 		s.mu.Unlock()
 		return Admission{RetryAfter: time.Second}
 	}
-	silent := c.silent(now) && s.tolerance.Window > 0
+	silent := s.tolerance.Window > 0 && (c.silent(now) || !s.holderKnown(w.Name))
 	if silent && s.admitAlone(w, c, now) {
 		s.refill(w.Name, c, now)
 		s.mu.Unlock()
@@ -154,6 +154,15 @@
 	return s.await(ctx, w, c, one, now)
 }
 
+// holderKnown reports whether anybody is known to hold a workspace's shard.
+func (s *Shared) holderKnown(workspace string) bool {
+	if _, mine := s.leases.Held(ShardOf(workspace)); mine {
+		return true
+	}
+	_, known := s.leases.Holder(ShardOf(workspace))
+	return known
+}
+
 func (s *Shared) client(workspace string, now time.Time) *client {
 	c, ok := s.clients[workspace]
 	if !ok {
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -29,7 +29,7 @@
 	// half a second: less than a caller needs to come back. startPart is the part of
 	// the caller's time that it may take.
 	startPatience = 700 * time.Millisecond
-	startPart     = 4
+	startPart     = 2
 	// stallLimit is the time without progress after which a body is given up.
 	stallLimit = 15 * time.Second
 )
