Let requests that reached nobody look further without drawing on the budget

Change: only attempts that reached a server count towards the route's limit and the budget; all together are bounded by six. TestFurtherAttemptsDrawOnOneBudget says now that its attempts had arrived; the bound is the same.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -27,6 +27,9 @@
 type Request struct {
 	// Avoid names backend servers that earlier attempts of the request used.
 	Avoid []string
+	// Arrived says that one of these attempts reached its server. Only then does a
+	// further one draw on the budget.
+	Arrived bool
 	// Idempotent says that the request may run more than once.
 	Idempotent bool
 	// Rank is the urgency, 0 first.
--- a/pool/desk.go
+++ b/pool/desk.go
@@ -74,6 +74,8 @@
 	objective time.Time
 	deadline  time.Time
 	avoid     []string
+	// arrived says that an earlier attempt reached a server.
+	arrived bool
 	// bytes is the size of the request's body.
 	bytes int64
 }
@@ -167,7 +169,7 @@
 // place gives an ask a server, queues it, or refuses it.
 func (d *desk) place(a ask, plan deskView, now time.Time) reply {
 	d.budget.Deposit()
-	if len(a.avoid) > 0 && !d.budget.Withdraw() {
+	if a.arrived && !d.budget.Withdraw() {
 		return reply{ask: a, retry: leastRetry}
 	}
 	if target, ok := d.choose(a, plan, now); ok {
--- a/pool/seat.go
+++ b/pool/seat.go
@@ -101,7 +101,7 @@
 	return &wire.SlotAsk{
 		Pool: pool, Id: id, Idempotent: r.Idempotent, Rank: uint32(max(0, r.Rank)), Workspace: r.Workspace,
 		ObjectiveMicros: uint64(max(0, objective).Microseconds()), DeadlineMicros: uint64(max(0, left).Microseconds()),
-		Avoid: r.Avoid, Bytes: uint64(max(0, r.Bytes)),
+		Avoid: r.Avoid, Arrived: r.Arrived, Bytes: uint64(max(0, r.Bytes)),
 	}
 }
 
@@ -186,7 +186,7 @@
 	}
 	a := ask{
 		vm: vm, id: m.GetId(), centre: centre, idempotent: m.GetIdempotent(), rank: int(m.GetRank()),
-		workspace: m.GetWorkspace(), avoid: m.GetAvoid(), bytes: int64(m.GetBytes()),
+		workspace: m.GetWorkspace(), avoid: m.GetAvoid(), arrived: m.GetArrived(), bytes: int64(m.GetBytes()),
 		objective: now.Add(time.Duration(m.GetObjectiveMicros()) * time.Microsecond),
 		deadline:  now.Add(time.Duration(m.GetDeadlineMicros()) * time.Microsecond),
 	}
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -59,7 +59,7 @@
 
 // tear ends an attempt whose answer broke off.
 func (a *attempt) tear(ctx context.Context, err error, started time.Time) *failure {
-	f := &failure{kind: health.Torn, outcome: Unknown, cause: err}
+	f := &failure{kind: health.Torn, outcome: Unknown, arrived: true, cause: err}
 	f.blame(ctx)
 	a.detail = f.cause.Error()
 	a.report(f.kind, time.Since(started))
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -33,6 +33,8 @@
 	kind    health.Kind
 	outcome Outcome
 	cause   error
+	// arrived says that a backend server may have got some of the request.
+	arrived bool
 }
 
 // problem returns the refusal for a failure.
@@ -80,7 +82,7 @@
 	if kind, refused := names.refusal(response); refused {
 		response.Body.Close()
 		a.report(kind, time.Since(started))
-		return nil, &failure{kind: kind, outcome: NotRun, cause: errors.Errorf("backend server refused the request with %d", response.StatusCode)}
+		return nil, &failure{kind: kind, outcome: NotRun, arrived: true, cause: errors.Errorf("backend server refused the request with %d", response.StatusCode)}
 	}
 	if err := names.foreign(response, x.request.Header.Get(names.RequestID)); err != nil {
 		a.abandon()
@@ -153,7 +155,7 @@
 func (a *attempt) fail(ctx context.Context, err error, latency time.Duration) *failure {
 	f := &failure{kind: health.Unreachable, outcome: NotRun, cause: err}
 	if a.conn != nil && a.conn.abandon() != a.start || a.sent {
-		f.kind, f.outcome = health.Torn, Unknown
+		f.kind, f.outcome, f.arrived = health.Torn, Unknown, true
 	}
 	f.blame(ctx)
 	a.detail = f.cause.Error()
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -19,6 +19,9 @@
 	defaultKeyHeader = "Authorization"
 	defaultKeyScheme = "Bearer"
 	maxAttempts      = 3
+	// mostTries bounds the attempts of a request, those included that reached no backend
+	// server.
+	mostTries = 6
 	// bufferBytes is the size up to which bodies are held, so that a request
 	// can be sent again and an answer is whole before its first byte goes out.
 	bufferBytes = 64 << 10
--- a/proxy/try.go
+++ b/proxy/try.go
@@ -32,6 +32,8 @@
 	results  chan tried
 	running  int
 	used     []string
+	// arrived is the number of attempts that reached a backend server.
+	arrived int
 	// cancels end the attempts' contexts. The attempt whose answer is used keeps
 	// its context until the answer has been sent.
 	cancels []context.CancelCauseFunc
@@ -47,7 +49,7 @@
 // a late answer is hedged by a second attempt. Further attempts draw on a budget.
 func (x *exchange) try(ctx context.Context, limit *deadline) (*answer, *failure) {
 	x.handler.budget.Deposit()
-	t := &trial{exchange: x, limit: limit, results: make(chan tried, x.attempts()), ran: NotRun}
+	t := &trial{exchange: x, limit: limit, results: make(chan tried, mostTries), ran: NotRun}
 	if err := t.start(ctx); err != nil {
 		return nil, &failure{outcome: NotRun, cause: err}
 	}
@@ -91,11 +93,15 @@
 
 // start begins one attempt at a backend server that was not used yet.
 func (t *trial) start(ctx context.Context) error {
-	choice, err := t.exchange.handler.options.Picker.Pick(ctx, t.exchange.pool, t.exchange.pickRequest(t.used, t.limit))
+	r := t.exchange.pickRequest(t.used, t.limit)
+	// An attempt that is still running, or failed after its first byte, has arrived. One
+	// that found nobody has cost no backend server anything.
+	r.Arrived = t.arrived+t.running > 0
+	choice, err := t.exchange.handler.options.Picker.Pick(ctx, t.exchange.pool, r)
 	if err != nil {
 		return err
 	}
-	if len(t.used) > 0 && !choice.Counted && !t.exchange.handler.budget.Withdraw() {
+	if r.Arrived && !choice.Counted && !t.exchange.handler.budget.Withdraw() {
 		choice.Done(health.Result{Kind: health.Cancelled})
 		return pick.ErrBudget
 	}
@@ -120,6 +126,9 @@
 		select {
 		case one := <-t.results:
 			t.running--
+			if one.failure == nil || one.failure.arrived {
+				t.arrived++
+			}
 			if t.usable(one) {
 				t.cancelOthers(one.number)
 				return one.answer
@@ -185,7 +194,7 @@
 	}
 	t.spare = one.answer
 	t.ran = Unknown
-	t.last = &failure{kind: health.Failed, outcome: Unknown, cause: errors.New("server error")}
+	t.last = &failure{kind: health.Failed, outcome: Unknown, arrived: true, cause: errors.New("server error")}
 	return false
 }
 
@@ -201,7 +210,8 @@
 }
 
 func (t *trial) mayContinue(ctx context.Context) bool {
-	return len(t.cancels) < t.exchange.attempts() && ctx.Err() == nil && t.exchange.body.again()
+	tried := t.arrived + t.running
+	return tried < t.exchange.attempts() && len(t.cancels) < mostTries && ctx.Err() == nil && t.exchange.body.again()
 }
 
 // startFurther starts an attempt that draws on the budget.
