Learn how long gray spells last

Change: a pool's climate learns the usual length of a spell from how long servers stay gray, starting from 3 s, within 1 s and a minute. The part of requests that was not served no longer counts failures that a further attempt makes good.

--- a/health/belief.go
+++ b/health/belief.go
@@ -9,9 +9,22 @@
 	// grayFails is the part of its requests that a gray server fails. Servers that
 	// fail less are found later, and cost less.
 	grayFails = 0.7
-	// graySpan is the usual length of a gray spell: how fast a server that failed
-	// is thought to be sound again.
-	graySpan = 3 * time.Second
+	// firstSpan is the usual length of a gray spell before anything is known: how fast a
+	// server that failed is thought to be sound again. It counts as much as spanPrior
+	// spells that were seen; leastSpan and mostSpan bound what may be learned.
+	firstSpan = 3 * time.Second
+	spanPrior = 3.0
+	leastSpan = time.Second
+	mostSpan  = time.Minute
+	// sureGray is the belief from which on a server counts as gray, and sureSound up to
+	// which one that was gray counts as recovered.
+	sureGray  = 0.8
+	sureSound = 0.3
+	// mostGap is the time between two results up to which the state between them is
+	// known.
+	mostGap = 5 * time.Second
+	// spanKept is the part of what is known of spells that is kept with each further one.
+	spanKept = 0.95
 	// firstGray is the part of the servers thought to be gray before anything is
 	// known, leastGray and mostGray the bounds of what may be learned.
 	firstGray = 0.1
@@ -32,6 +45,10 @@
 type Climate struct {
 	gray   float64
 	errors float64
+	// spells is the number of gray spells whose end was seen, and inGray the time that
+	// servers were seen gray.
+	spells float64
+	inGray time.Duration
 }
 
 // NewClimate returns the climate of a pool that is not known.
@@ -40,6 +57,22 @@
 // Gray returns the part of the servers that are gray at a time.
 func (c *Climate) Gray() float64 { return c.gray }
 
+// Span returns the usual length of a gray spell.
+func (c *Climate) Span() time.Duration {
+	span := (spanPrior*firstSpan.Seconds() + c.inGray.Seconds()) / (spanPrior + c.spells)
+	return min(max(time.Duration(span*float64(time.Second)), leastSpan), mostSpan)
+}
+
+// learnSpan takes a result of a server that was gray a while before it.
+func (c *Climate) learnSpan(passed time.Duration, after float64) {
+	c.inGray += min(passed, mostGap)
+	if after > sureSound {
+		return
+	}
+	c.spells = spanKept*c.spells + 1
+	c.inGray = time.Duration(spanKept * float64(c.inGray))
+}
+
 // Learn takes a result from a server that was gray with a probability before it.
 func (c *Climate) Learn(before, after float64, bad bool) {
 	c.gray += learnWeight * (after - c.gray)
@@ -64,6 +97,8 @@
 type Belief struct {
 	gray float64
 	at   time.Time
+	// spell says that the server was gray and has not recovered for sure.
+	spell bool
 	// Tried says that there was any result.
 	Tried bool
 }
@@ -78,7 +113,7 @@
 		return b.gray
 	}
 	// The rates of the two transitions add up to the rate of return.
-	rate := 1 / (graySpan.Seconds() * (1 - c.gray))
+	rate := 1 / (c.Span().Seconds() * (1 - c.gray))
 	return c.gray + (b.gray-c.gray)*math.Exp(-rate*passed.Seconds())
 }
 
@@ -94,5 +129,10 @@
 	}
 	after := before * gray / (before*gray + (1-before)*sound)
 	c.Learn(before, after, bad)
-	return Belief{gray: after, at: now, Tried: true}
+	spell := b.spell
+	if spell || b.gray > sureGray {
+		c.learnSpan(now.Sub(b.at), after)
+		spell = after > sureSound
+	}
+	return Belief{gray: after, at: now, spell: spell, Tried: true}
 }
--- a/pool/desk.go
+++ b/pool/desk.go
@@ -99,7 +99,9 @@
 	workspace string
 	since     time.Time
 	until     time.Time
-	ramping   bool
+	// final says that there is no further attempt after this one.
+	final   bool
+	ramping bool
 }
 
 // reply is what the desk says to an ask.
@@ -185,7 +187,7 @@
 
 // seat takes a slot for an ask.
 func (d *desk) seat(a ask, target fleet.Target, plan deskView, now time.Time) reply {
-	s := seat{target: target.Name, workspace: a.workspace, since: now, until: a.deadline.Add(lostAfter)}
+	s := seat{final: !a.idempotent || a.arrived, target: target.Name, workspace: a.workspace, since: now, until: a.deadline.Add(lostAfter)}
 	if r := plan.ramp(target.Name); r != nil {
 		s.ramping = true
 		r.Grant(now)
@@ -236,8 +238,10 @@
 	if ramp := plan.ramp(s.target); s.ramping && ramp != nil {
 		ramp.Done(r.Kind == health.OK, now)
 	}
+	if s.final && r.Kind != "" && r.Kind != health.Cancelled {
+		d.noteServed(r.Kind == health.OK)
+	}
 	if d.paths.note(key.vm, s.target, r.Kind, s.since, now) {
-		d.noteServed(false)
 		return
 	}
 	d.learn(s.target, r, now)
@@ -263,11 +267,11 @@
 		d.service += time.Duration(serviceWeight * float64(r.Latency-d.service))
 	}
 	bad := r.Kind.Bad() || r.Kind == health.Late || r.Kind == health.Shed
-	d.noteServed(!bad)
 	d.beliefs[target] = b.WithResult(d.climate, bad, now)
 }
 
-// noteServed counts a request that was served, or not.
+// noteServed counts a request that was served, or not. Failures that a further attempt
+// makes good do not count.
 func (d *desk) noteServed(served bool) {
 	value := 1.0
 	if served {
