Leave their part of a rate to entries that a holder does not hear

Change: a holder takes the part of the entries that it does not hear off its window, and for one window after they are back, since what they have admitted counts that long.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -96,7 +96,8 @@
 		lease.Fresh(e.fresh), lease.Clock(e.options.Clock), lease.Line(e.options.Line),
 	)
 	e.limits = limit.NewShared(e.options.VM, e.options.Clock, e.link, e.leases, e.State).
-		WithTolerance(e.options.Tolerance, e.settledCount)
+		WithTolerance(e.options.Tolerance, e.settledCount).
+		WithPresent(e.fitCount)
 	e.pools = pool.New(e.link, e.fleet, e.leases, append([]pool.Option{
 		pool.VM(e.options.VM), pool.DataCentre(e.options.DataCentre), pool.Place(e.options.Placement), pool.State(e.State),
 		pool.Settings(func() []state.Pool { return e.view.Load().Pools }), pool.Clock(e.options.Clock), pool.Line(e.options.Line),
--- a/entry/status.go
+++ b/entry/status.go
@@ -103,6 +103,17 @@
 	return e.crowd.count(e.MemberCount(), e.options.Clock.Now())
 }
 
+// fitCount returns the number of entries that are heard now, this one included.
+func (e *Entry) fitCount() int {
+	n := 0
+	for _, m := range e.fleet.Members() {
+		if m.Fit() {
+			n++
+		}
+	}
+	return n
+}
+
 // Links returns the links of the process.
 func (e *Entry) Links() link.Link { return e.link }
 
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -45,6 +45,10 @@
 	// tolerance widens the rate, and granted keeps what is tolerated in any window.
 	tolerance Tolerance
 	granted   *window
+	// absent is the part of the entries that the holder does not hear. They may be cut
+	// off from it and serve their part of the rate. It was as large at absentAt.
+	absent   float64
+	absentAt time.Time
 }
 
 // NewBucket returns an empty bucket that starts to fill at an instant.
@@ -63,7 +67,17 @@
 }
 
 // most returns the number of tokens that may be granted in a window.
-func (b *Bucket) most() float64 { return holderPart * b.tolerance.limit(b.rate, b.burst) }
+func (b *Bucket) most() float64 {
+	return max(0, holderPart*b.tolerance.limit(b.rate, b.burst)-b.absent*b.rate*b.tolerance.Window.Seconds())
+}
+
+// SetAbsent sets the part of the entries that the holder does not hear. What those that
+// come back have admitted counts for one window more.
+func (b *Bucket) SetAbsent(part float64, now time.Time) {
+	if part >= b.absent || now.Sub(b.absentAt) > b.tolerance.Window {
+		b.absent, b.absentAt = part, now
+	}
+}
 
 // flow returns the tokens that the bucket gets in a second: the rate, or what is
 // tolerated over a long time.
@@ -71,7 +85,7 @@
 	if b.granted == nil {
 		return b.rate
 	}
-	return math.Max(b.rate, b.most()/(b.tolerance.Window+maxLifetime).Seconds())
+	return math.Max(b.rate*(1-b.absent), b.most()/(b.tolerance.Window+maxLifetime).Seconds())
 }
 
 // size returns the number of tokens that the bucket holds.
@@ -97,12 +111,12 @@
 		return
 	}
 	b.fill(now)
-	before := b.most()
+	before := b.tolerance.limit(b.rate, b.burst)
 	b.rate, b.burst = rate, burst
 	b.tokens = math.Min(b.tokens, b.size())
-	if b.granted != nil && b.most() < before {
+	if after := b.tolerance.limit(rate, burst); b.granted != nil && after < before {
 		// What was granted under the higher rate does not count against the lower one.
-		b.granted.scale(b.most() / before)
+		b.granted.scale(after / before)
 	}
 }
 
--- a/limit/shared.go
+++ b/limit/shared.go
@@ -71,6 +71,10 @@
 	// of entries that share it.
 	tolerance Tolerance
 	entries   func() int
+	// present is the number of entries that are heard now, and missing the part of all
+	// that is not.
+	present func() int
+	missing float64
 
 	mu      sync.Mutex
 	clients map[string]*client
@@ -112,17 +116,32 @@
 	return &Shared{
 		vm: vm, clock: c, link: l, leases: leases, state: current,
 		clients: make(map[string]*client), buckets: make(map[string]*owned),
-		entries: func() int { return 1 },
+		entries: func() int { return 1 }, present: func() int { return 1 },
 	}
 }
 
 // WithTolerance lets workspaces exceed their rate as far as operators say, and lets
 // an entry that does not reach the holder of a shard admit its part of that.
 func (s *Shared) WithTolerance(t Tolerance, entries func() int) *Shared {
-	s.tolerance, s.entries = t, entries
+	s.tolerance, s.entries, s.present = t, entries, entries
 	return s
 }
 
+// WithPresent sets the source of the number of entries that are heard now.
+func (s *Shared) WithPresent(present func() int) *Shared {
+	s.present = present
+	return s
+}
+
+// absent returns the part of the entries that is not heard now.
+func (s *Shared) absent() float64 {
+	all := s.entries()
+	if all <= 0 {
+		return 0
+	}
+	return max(0, 1-float64(s.present())/float64(all))
+}
+
 // String names the implementation.
 func (s *Shared) String() string { return "shared" }
 
@@ -289,6 +308,7 @@
 		s.buckets[w.Name] = o
 	}
 	o.bucket.Set(w.Rate, w.Burst, now)
+	o.bucket.SetAbsent(s.missing, now)
 	return o.bucket
 }
 
@@ -368,8 +388,10 @@
 
 // Tick repeats asks that were not answered and forgets what is out of use.
 func (s *Shared) Tick(now time.Time) {
+	missing := s.absent()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.missing = missing
 	for workspace, c := range s.clients {
 		if len(c.waiting) > 0 {
 			s.serve(workspace, c, now)
--- a/limit/tolerance_test.go
+++ b/limit/tolerance_test.go
@@ -189,6 +189,56 @@
 	}
 }
 
+// A data centre with a third of the entries is cut off for seven seconds while a workspace
+// sends ten times its rate to both sides. The holder hears of it after two seconds.
+func TestTheToleranceHoldsWhileADataCentreIsCutOff(t *testing.T) {
+	const (
+		entries = 44
+		cutOff  = 16
+		step    = 10 * time.Millisecond
+	)
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 5))
+		w := state.Workspace{Name: "w", Rate: 10 + random.Float64()*100}
+		w.Burst = w.Rate * (0.5 + random.Float64())
+		start := time.Unix(9000, 0)
+		cutFrom, cutTo := start.Add(7*time.Second), start.Add(14*time.Second)
+		parts := make([]*aloneBucket, entries)
+		for i := range parts {
+			parts[i] = newAloneBucket(fiveSeconds, w, entries, start)
+		}
+		answered := make([]time.Time, entries)
+		holder := NewBucket(w.Rate, w.Burst, start).WithTolerance(fiveSeconds, start)
+		var used []time.Time
+		for now := start; now.Sub(start) < 25*time.Second; now = now.Add(step) {
+			cut := now.After(cutFrom) && now.Before(cutTo)
+			absent := 0.0
+			if cut && now.Sub(cutFrom) > 2*time.Second {
+				absent = float64(cutOff) / entries
+			}
+			holder.SetAbsent(absent, now)
+			for i := range parts {
+				if random.Float64() >= 10*w.Rate/entries*step.Seconds() {
+					continue
+				}
+				if cut && i < cutOff {
+					if parts[i].take(w, entries, answered[i], now) {
+						used = append(used, now)
+					}
+					continue
+				}
+				answered[i] = now
+				if holder.Take(1, 0, now).Tokens > 0 {
+					used = append(used, now)
+				}
+			}
+		}
+		if most, limit := mostIn(used, fiveSeconds.Window), fiveSeconds.limit(w.Rate, w.Burst); float64(most) > limit {
+			t.Errorf("seed %d, rate %.0f, burst %.0f: %d in a window, tolerated %.0f", seed, w.Rate, w.Burst, most, limit)
+		}
+	}
+}
+
 // heldSince is a lease that this VM has held since an instant.
 type heldSince time.Time
 
