Keep a control VM up while its disk takes no writes

Change: the replica goes silent, logs disk-lost with the cause, opens the folder again every 200 ms, writes all of it anew (what a failed sync left cannot be known), and goes on as after a restart. Weighed: ending the process, as before. TestReplicasWithFullDisksComeBackByThemselves failed before (the process had ended).

--- a/ctrl/ctrl.go
+++ b/ctrl/ctrl.go
@@ -241,8 +241,8 @@
 			c.heard[m.From] = c.options.Clock.Now()
 			c.core.Step(m)
 		}
-		if err := c.carryOut(); err != nil {
-			return err
+		if err := c.carryOut(); err != nil && !c.reopen(ctx, err) {
+			return nil
 		}
 	}
 }
--- a/ctrl/group_test.go
+++ b/ctrl/group_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,6 +28,8 @@
 	path  string
 	addrs []netip.AddrPort
 	nodes []*crewNode // nil while stopped
+	// full says whose disks take no more bytes.
+	full [maxReplicas]atomic.Bool
 }
 
 type crewNode struct {
@@ -68,7 +71,7 @@
 			c.tb.Fatal(err)
 		}
 		timers := clock.New()
-		control, err := New(folder, l, VM(c.vm(i)), Addr(c.addrs[i]), Seeds(c.addrs[:crewSeeds]),
+		control, err := New(&fullFolder{folder, &c.full[i]}, l, VM(c.vm(i)), Addr(c.addrs[i]), Seeds(c.addrs[:crewSeeds]),
 			Founding(founding), Losses(crewLoss), Clock(timers))
 		if err != nil {
 			c.tb.Fatal(err)
--- a/event/event.go
+++ b/event/event.go
@@ -38,6 +38,8 @@
 	ReplicaAdded       Kind = "replica-added"
 	ReplicaPromoted    Kind = "replica-promoted"
 	ReplicaRemoved     Kind = "replica-removed"
+	DiskLost           Kind = "disk-lost"
+	DiskRegained       Kind = "disk-regained"
 	LeaseWon           Kind = "lease-won"
 	LeaseLost          Kind = "lease-lost"
 	LeaseDoubted       Kind = "lease-doubted"
--- a/store/store.go
+++ b/store/store.go
@@ -78,6 +78,24 @@
 	return d, restored, d.removeOthers()
 }
 
+// Reopen opens a folder after a failed write. What a failed sync left on the disk cannot
+// be known from reading it back, so all that is there is written and synced anew.
+func Reopen(folder Folder) (*Disk, quorum.Restored, error) {
+	d, restored, err := Open(folder)
+	if err != nil {
+		return nil, quorum.Restored{}, err
+	}
+	var s *quorum.Snapshot
+	if restored.Snapshot.Index > 0 {
+		s = &restored.Snapshot
+	}
+	if err := d.startEpoch(d.epoch+1, s, restored.Hard, restored.Entries); err != nil {
+		d.Close()
+		return nil, quorum.Restored{}, err
+	}
+	return d, restored, nil
+}
+
 // restore reads an epoch and opens its log for appending.
 func (d *Disk) restore(epoch uint64) (quorum.Restored, error) {
 	d.epoch = epoch
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -172,6 +172,31 @@
 	is.True(errors.Is(disk.Save(quorum.Effects{Hard: &hard}, hard), ErrBroken))
 }
 
+// A folder that is opened again after a failed write holds what was saved, written and
+// synced anew, and takes further writes.
+func TestReopenAfterAFailedWrite(t *testing.T) {
+	is := is.New(t)
+	folder, _ := filled(t)
+	disk, restored, err := Open(folder)
+	is.NoErr(err)
+	hard := quorum.HardState{Term: 9}
+	folder.left = 1 // the write works, the sync fails
+	is.True(disk.Save(quorum.Effects{Hard: &hard}, hard) != nil)
+	_, _, err = Reopen(folder)
+	is.True(err != nil) // there is no room yet
+	folder.left = -1
+	is.NoErr(disk.Close())
+	disk, again, err := Reopen(folder)
+	is.NoErr(err)
+	is.Equal(len(again.Entries), len(restored.Entries))
+	hard.Term = 10
+	is.NoErr(disk.Save(quorum.Effects{Hard: &hard}, hard))
+	_, last, err := Open(folder.crash(rand.New(rand.NewPCG(1, 1))))
+	is.NoErr(err)
+	is.Equal(last.Hard.Term, uint64(10))
+	is.Equal(len(last.Entries), len(restored.Entries))
+}
+
 func TestLogWithoutIdentityIsDamage(t *testing.T) {
 	is := is.New(t)
 	folder, _ := filled(t)
