Let entries without a holder admit 0.6 of their part in the long run

Cause: what entries that are not heard may admit is taken off every workspace's window. After a data centre is lost that would leave 64% of the rate for a minute, about what workspaces use; dead entries admit nothing. Change: such entries admit 0.6 of their part after the first second, and holders leave as much.

--- a/limit/alone.go
+++ b/limit/alone.go
@@ -23,6 +23,10 @@
 	holderPart = 0.85
 	newPart    = 0.07
 	alonePart  = 1 - holderPart - newPart
+	// aloneFlow is the part of its part of the rate that an entry without a holder admits
+	// in the long run. Most workspaces use no more, and the holder has to leave it to
+	// every entry that it does not hear, dead ones included.
+	aloneFlow = 0.6
 	// aloneSpan is the time without a holder after which an entry's part of the rate
 	// itself comes back too. Until then what was granted before still counts.
 	aloneSpan = time.Second
@@ -81,7 +85,7 @@
 	passed := max(0, now.Sub(b.filled))
 	refill := most * passed.Seconds() / b.tolerance.Window.Seconds()
 	if without := min(passed, now.Sub(b.since)-aloneSpan); without > 0 {
-		refill = w.Rate * part * without.Seconds()
+		refill = max(refill, aloneFlow*w.Rate*part*without.Seconds())
 	}
 	b.tokens = min(b.tokens+refill, max(most, 1))
 	b.filled = now
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -68,7 +68,7 @@
 
 // most returns the number of tokens that may be granted in a window.
 func (b *Bucket) most() float64 {
-	return max(0, holderPart*b.tolerance.limit(b.rate, b.burst)-b.absent*b.rate*b.tolerance.Window.Seconds())
+	return max(0, holderPart*b.tolerance.limit(b.rate, b.burst)-b.absent*aloneFlow*b.rate*b.tolerance.Window.Seconds())
 }
 
 // SetAbsent sets the part of the entries that the holder does not hear. What those that
@@ -85,7 +85,7 @@
 	if b.granted == nil {
 		return b.rate
 	}
-	return math.Max(b.rate*(1-b.absent), b.most()/(b.tolerance.Window+maxLifetime).Seconds())
+	return math.Max(b.rate*(1-aloneFlow*b.absent), b.most()/(b.tolerance.Window+maxLifetime).Seconds())
 }
 
 // size returns the number of tokens that the bucket holds.
