Log without waiting, within a rate, and log delayed repairs and refused reads

Two errors were dropped without a line: a change of the group that could not be made, and a read that could not be confirmed. Change: package lines, a slog handler with a buffer and a rate (--log-rate, 400 lines a second; lines below warnings get half of both). What is dropped is counted in the log, at the end and as dottereldeal_log_lines_dropped_total. TestLoggingNeverWaits blocks the reader of the log; the old handler waits there for ever.

--- a/ctrl/ctrl.go
+++ b/ctrl/ctrl.go
@@ -96,6 +96,8 @@
 	lastLeader time.Time
 	// lastRepair is when the group was looked at last.
 	lastRepair time.Time
+	// repairNote is the last reason that was logged for a delayed change of the group.
+	repairNote string
 	// grown says that the group has had as many voters as it wants.
 	grown bool
 	// firstIndex is the index of the first ticket ever, 0 before it.
--- a/ctrl/forward.go
+++ b/ctrl/forward.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/dottereldeal/dottereldeal/event"
 	"github.com/dottereldeal/dottereldeal/ledger"
 	"github.com/dottereldeal/dottereldeal/quorum"
 	"github.com/dottereldeal/dottereldeal/state"
@@ -177,9 +178,12 @@
 func (c *Control) serveRead(from string, m *wire.ReadAsk) {
 	c.serveForwarded(from, func(ctx context.Context) *wire.Envelope {
 		answer := &wire.ReadAnswer{Seq: m.GetSeq()}
-		if index, err := c.confirm(ctx); err == nil {
-			answer.Index = index
+		index, err := c.confirm(ctx)
+		if err != nil {
+			// An index of 0 says that this replica could not confirm that it leads.
+			c.options.Line.Record(event.ReadRefused, from, err.Error())
 		}
+		answer.Index = index
 		return &wire.Envelope{Body: &wire.Envelope_ReadAnswer{ReadAnswer: answer}}
 	})
 }
--- a/ctrl/repair.go
+++ b/ctrl/repair.go
@@ -1,6 +1,7 @@
 package ctrl
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/dottereldeal/dottereldeal/event"
@@ -158,14 +159,25 @@
 	}
 	if err != nil {
 		// A change under way, or a replica that fell behind: the next look decides anew.
+		c.noteRepair(fmt.Sprintf("%s %s: %s", step.kind, step.replica.VM, err))
 		return
 	}
+	c.repairNote = ""
 	kinds := map[repairKind]event.Kind{
 		repairAdd: event.ReplicaAdded, repairRemove: event.ReplicaRemoved, repairPromote: event.ReplicaPromoted,
 	}
 	c.options.Line.Record(kinds[step.kind], step.replica.VM, idText(step.replica.ID))
 }
 
+// noteRepair logs why the group could not be changed, once for each reason.
+func (c *Control) noteRepair(why string) {
+	if why == c.repairNote {
+		return
+	}
+	c.repairNote = why
+	c.options.Line.Record(event.RepairDelayed, c.options.VM, why)
+}
+
 func (c *Control) repairView(s *quorum.Status, now time.Time) repairView {
 	v := repairView{
 		self: s.ID, group: s.Group, wanted: c.options.wholeGroup(),
--- a/event/event.go
+++ b/event/event.go
@@ -38,6 +38,8 @@
 	ReplicaAdded       Kind = "replica-added"
 	ReplicaPromoted    Kind = "replica-promoted"
 	ReplicaRemoved     Kind = "replica-removed"
+	ReadRefused        Kind = "read-refused"
+	RepairDelayed      Kind = "repair-delayed"
 	DiskLost           Kind = "disk-lost"
 	DiskRegained       Kind = "disk-regained"
 	LeaseWon           Kind = "lease-won"
--- a/prog/control.go
+++ b/prog/control.go
@@ -66,7 +66,7 @@
 	defer folder.Close()
 	control, err := ctrl.New(folder, p.listeners["listen"], append([]ctrl.Option{
 		ctrl.VM(*p.common.vm), ctrl.DataCentre(*p.common.centre),
-		ctrl.Clock(p.clock), ctrl.Line(p.line), ctrl.Identity(p.identity),
+		ctrl.Meter(p.meter), ctrl.Clock(p.clock), ctrl.Line(p.line), ctrl.Identity(p.identity),
 	}, p.options...)...)
 	if err != nil {
 		fmt.Fprintln(p.streams.err, err)
--- a/prog/serve.go
+++ b/prog/serve.go
@@ -16,6 +16,8 @@
 	"github.com/dottereldeal/dottereldeal/clock"
 	"github.com/dottereldeal/dottereldeal/conf"
 	"github.com/dottereldeal/dottereldeal/event"
+	"github.com/dottereldeal/dottereldeal/lines"
+	"github.com/dottereldeal/dottereldeal/meter"
 	"github.com/dottereldeal/dottereldeal/platform"
 )
 
@@ -33,6 +35,7 @@
 	caFile    *string
 	clearText *bool
 	memory    *int
+	logRate   *int
 }
 
 func sharedSettings(set *conf.Set) shared {
@@ -45,6 +48,7 @@
 		keyFile:   set.Text("tls-key", "PEM key of the certificate"),
 		caFile:    set.Text("tls-ca", "PEM certificates of the authorities for other VMs and operators"),
 		memory:    set.Int("memory-limit", "memory of this process in MB; the garbage collector works harder near it", 1, conf.Default("512")),
+		logRate:   set.Int("log-rate", "most log lines in a second; beyond it lines are dropped and counted, those of changes and refusals last", 1, conf.Default("400")),
 		clearText: set.Bool("allow-clear-text", "allow links and operators' interface without TLS beyond loopback"),
 	}
 }
@@ -154,6 +158,8 @@
 	clock     clock.Service
 	line      *event.Line
 	logger    *slog.Logger
+	lines     *lines.Handler
+	meter     *meter.Meter
 }
 
 // heapShare is the part of the memory limit at which the garbage collector runs
@@ -163,10 +169,13 @@
 
 func newProcess(common shared, identity *cert.Identity, listeners map[string]net.Listener, s streams) process {
 	debug.SetMemoryLimit(int64(float64(*common.memory<<20) * heapShare))
+	handler := lines.New(s.out, lines.Rate(*common.logRate))
+	metrics := meter.New()
+	metrics.CounterFunc("log_lines_dropped_total", "Log lines that were not written.", func() float64 { return float64(handler.Dropped()) })
 	return process{
-		common: common, identity: identity, listeners: listeners, streams: s,
+		lines: handler, meter: metrics, common: common, identity: identity, listeners: listeners, streams: s,
 		clock: clock.New(), line: event.New(*common.vm),
-		logger: slog.New(slog.NewJSONHandler(s.out, nil)).With("vm", *common.vm),
+		logger: slog.New(handler).With("vm", *common.vm),
 	}
 }
 
@@ -186,11 +195,12 @@
 	err := run(ctx)
 	p.clock.Stop()
 	logs.flush()
+	defer p.lines.Stop()
 	if err != nil {
 		p.logger.Error("process ended", "error", err)
 		return exitFailed
 	}
-	p.logger.Info("stop")
+	p.logger.Info("stop", "log-lines-dropped", p.lines.Dropped())
 	return exitOK
 }
 
