--- a/limit/alone.go
+++ b/limit/alone.go
@@ -20,8 +20,8 @@
 	// holderPart is the part of what is tolerated that the holder of a shard uses,
 	// newPart the part that a new holder may use while an earlier one's grants still
 	// count, and alonePart the part of the entries that reach no holder.
-	holderPart = 0.85
-	newPart    = 0.07
+	holderPart = 0.82
+	newPart    = 0.06
 	alonePart  = 1 - holderPart - newPart
 	// aloneFlow is the part of its part of the rate that an entry without a holder admits
 	// in the long run. Most workspaces use no more, and the holder has to leave it to
