--- a/limit/await.go
+++ b/limit/await.go
@@ -100,5 +100,15 @@
 		return Admission{OK: true}
 	}
 	one.until = time.Time{}
-	return Admission{Unavailable: true, RetryAfter: holderRetry}
+	return Admission{Unavailable: true, RetryAfter: holderRetry, Cause: s.why(w.Name)}
+}
+
+// why says what kept a request from its token.
+func (s *Shared) why(workspace string) string {
+	shard := ShardOf(workspace)
+	holder, known := s.leases.Holder(shard)
+	if !known {
+		return "nobody is known to hold " + shard
+	}
+	return holder + ", known to hold " + shard + ", gave no token in time"
 }
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -20,6 +20,8 @@
 	// Unavailable says that no answer could be had, so that the workspace may well
 	// be inside its rate.
 	Unavailable bool
+	// Cause says why, for the log.
+	Cause string
 	// RetryAfter is how long to wait before a request is likely to be admitted.
 	RetryAfter time.Duration
 }
--- a/limit/tolerance_test.go
+++ b/limit/tolerance_test.go
@@ -311,6 +311,7 @@
 	admission := s.Admit(ctx, &w)
 	is.True(!admission.OK)
 	is.True(admission.Unavailable)
+	is.Equal(admission.Cause, "e2, known to hold "+ShardOf("w")+", gave no token in time")
 	members = 4
 	is.True(s.Admit(context.Background(), &w).OK)
 }
--- a/pool/desk.go
+++ b/pool/desk.go
@@ -174,6 +174,7 @@
 	if a.arrived && !d.budget.Withdraw() {
 		return reply{ask: a, retry: leastRetry}
 	}
+	plan.below = d.belowFloor(plan, now)
 	if target, ok := d.choose(a, plan, now); ok {
 		return d.seat(a, target, plan, now)
 	}
@@ -319,6 +320,7 @@
 		}
 		return late
 	})
+	plan.below = d.belowFloor(plan, now)
 	for len(d.queue) > 0 {
 		open := plan
 		open.targets = d.open(plan, now)
--- a/pool/weigh.go
+++ b/pool/weigh.go
@@ -12,7 +12,6 @@
 func (d *desk) choose(a ask, plan deskView, now time.Time) (fleet.Target, bool) {
 	best, found := fleet.Target{}, false
 	bestCost := 0.0
-	plan.below = d.belowFloor(plan, now)
 	for _, t := range plan.targets {
 		if !d.room(t, plan, now) || slices.Contains(a.avoid, t.Name) {
 			continue
--- a/proxy/log.go
+++ b/proxy/log.go
@@ -11,7 +11,7 @@
 func (x *exchange) logRefusal(p problem) {
 	x.handler.options.Logger.LogAttrs(x.request.Context(), slog.LevelWarn, "request refused",
 		append(x.attrs(), slog.Int("status", p.status), slog.String("reason", p.kind), slog.String("detail", p.detail),
-			slog.String("outcome", string(p.outcome)), slog.Duration("retry-after", p.retryAfter))...)
+			slog.String("cause", p.cause), slog.String("outcome", string(p.outcome)), slog.Duration("retry-after", p.retryAfter))...)
 }
 
 // logAttempt notes the end of an attempt at a backend server.
--- a/proxy/problem.go
+++ b/proxy/problem.go
@@ -34,6 +34,8 @@
 	detail     string
 	outcome    Outcome
 	retryAfter time.Duration
+	// cause is for the log only: callers need not know the fleet's VMs.
+	cause string
 }
 
 var (
@@ -68,6 +70,11 @@
 	return p
 }
 
+func (p problem) withCause(text string) problem {
+	p.cause = text
+	return p
+}
+
 func (p problem) withOutcome(o Outcome) problem {
 	p.outcome = o
 	return p
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -203,7 +203,7 @@
 		return problem{}, false
 	}
 	if admission.Unavailable {
-		return problemLimits.withRetryAfter(admission.RetryAfter), true
+		return problemLimits.withCause(admission.Cause).withRetryAfter(admission.RetryAfter), true
 	}
 	detail := fmt.Sprintf("rate %g/s, burst %g", x.workspace.Rate, x.workspace.Burst)
 	return problemRate.withDetail(detail).withRetryAfter(admission.RetryAfter), true
