--- a/prog/control.go
+++ b/prog/control.go
@@ -64,6 +64,7 @@
 		return exitUsage
 	}
 	defer folder.Close()
+	logUnused(p.logger, p.bounds)
 	control, err := ctrl.New(folder, p.listeners["listen"], append([]ctrl.Option{
 		ctrl.VM(*p.common.vm), ctrl.DataCentre(*p.common.centre),
 		ctrl.Meter(p.meter), ctrl.Clock(p.clock), ctrl.Line(p.line), ctrl.Identity(p.identity),
--- a/prog/entry.go
+++ b/prog/entry.go
@@ -54,6 +54,7 @@
 			return exitUsage
 		}
 		p := newProcess(common, identity, listeners, s)
+		logUnused(p.logger, bounds)
 		sockets := entry.Listeners{
 			Links: listeners["listen"], Callers: listeners["callers"], Announce: listeners["announce"],
 			Admin: secureAdmin(listeners["admin"], identity), Ready: listeners["ready"],
--- a/prog/serve.go
+++ b/prog/serve.go
@@ -140,6 +140,13 @@
 	}
 }
 
+// logUnused says which limits of the platform nothing goes by.
+func logUnused(l *slog.Logger, b platform.Bounds) {
+	if len(b.Unused) > 0 {
+		l.Info("limits of the platform that are not used", "names", b.Unused)
+	}
+}
+
 // parseBounds reads the limits of the platform.
 func (d discovery) parseBounds(set *conf.Set) platform.Bounds {
 	bounds, err := platform.ParseBounds(*d.bounds)
