--- a/link/link.go
+++ b/link/link.go
@@ -68,6 +68,8 @@
 	ReceivedBytes    uint64 `json:"received-bytes"`
 	DroppedMessages  uint64 `json:"dropped-messages"`
 	Sessions         int    `json:"sessions"`
+	// SentByKind counts the sent messages by the type of their body.
+	SentByKind map[string]uint64 `json:"sent-by-kind"`
 }
 
 // New accepts connections on the listener until Stop is called.
--- a/link/peer.go
+++ b/link/peer.go
@@ -169,6 +169,7 @@
 	p.transport.sentBytes.Add(uint64(n))
 	if err == nil {
 		p.transport.sentMessages.Add(1)
+		p.transport.sentByKind.add(e)
 	}
 	return err
 }
--- a/link/transport.go
+++ b/link/transport.go
@@ -39,6 +39,7 @@
 	receivedMessages atomic.Uint64
 	receivedBytes    atomic.Uint64
 	dropped          atomic.Uint64
+	sentByKind       kindCounter
 }
 
 func newTransport(listener net.Listener, o Options) *transport {
@@ -152,6 +153,7 @@
 		ReceivedBytes:    t.receivedBytes.Load(),
 		DroppedMessages:  t.dropped.Load(),
 		Sessions:         sessions,
+		SentByKind:       t.sentByKind.counts(),
 	}
 }
 
