Replace the registered backend servers in linear time

Cause: on each update of the configuration an entry copied the list of its pool once for each registered server: 174 servers cost 174 copies.

The directory is rebuilt once per update and finds servers by name.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -32,6 +32,8 @@
 	// Every calls f once per period until the returned function is called. The functions
 	// of one clock never run concurrently and must not block.
 	Every(period time.Duration, f func(now time.Time)) (stop func())
+	// After calls f once after a delay, under the same conditions. Stop drops it.
+	After(delay time.Duration, f func(now time.Time))
 	// Stop ends all subscriptions and waits for a running function to return.
 	Stop()
 	// String returns the name of the implementation.
@@ -49,9 +51,10 @@
 	return s
 }
 
-// subscription is a periodic function and the time of its next run.
+// subscription is a function and the time of its next run.
 type subscription struct {
-	next    time.Time
+	next time.Time
+	// period is 0 for a function that runs only once.
 	period  time.Duration
 	run     func(time.Time)
 	stopped bool
@@ -106,6 +109,14 @@
 	}
 }
 
+// After calls f once after a delay.
+func (s *system) After(delay time.Duration, f func(time.Time)) {
+	s.mu.Lock()
+	heap.Push(&s.schedule, &subscription{next: time.Now().Add(delay), run: f})
+	s.mu.Unlock()
+	s.signalChange()
+}
+
 // Stop ends all subscriptions and waits for a running function to return.
 func (s *system) Stop() {
 	s.stopOnce.Do(func() { close(s.quit) })
@@ -147,8 +158,8 @@
 	}
 }
 
-// nextDue returns a subscription that is due and schedules its next run. Runs that
-// were missed are skipped.
+// nextDue returns a subscription that is due, and schedules its next run if it is periodic.
+// Runs that were missed are skipped.
 func (s *system) nextDue(now time.Time) *subscription {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -158,6 +169,10 @@
 			heap.Pop(&s.schedule)
 			continue
 		}
+		if sub.period == 0 {
+			heap.Pop(&s.schedule)
+			return sub
+		}
 		sub.next = sub.next.Add(sub.period)
 		if sub.next.Before(now) {
 			sub.next = now.Add(sub.period)
--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -33,3 +33,21 @@
 	manual.Advance(3 * time.Second)
 	is.Equal(order, []string{"fast", "slow", "fast", "fast"})
 }
+
+func TestFunctionAfterADelayRunsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := clock.New()
+		manual := clock.NewManual(time.Unix(0, 0))
+		runs := 0
+		c.After(time.Second, func(time.Time) { runs++ })
+		manual.After(time.Second, func(time.Time) { runs++ })
+		time.Sleep(time.Second - time.Millisecond)
+		manual.Advance(time.Second - time.Millisecond)
+		is.Equal(runs, 0)
+		time.Sleep(time.Minute)
+		manual.Advance(time.Minute)
+		c.Stop()
+		is.Equal(runs, 2)
+	})
+}
--- a/clock/manual.go
+++ b/clock/manual.go
@@ -38,6 +38,13 @@
 	}
 }
 
+// After calls f once when Advance has passed the delay.
+func (m *Manual) After(delay time.Duration, f func(time.Time)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.subscriptions = append(m.subscriptions, &subscription{next: m.now.Add(delay), run: f})
+}
+
 // Stop ends all subscriptions.
 func (m *Manual) Stop() {
 	m.mu.Lock()
@@ -81,5 +88,6 @@
 	}
 	m.now = first.next
 	first.next = first.next.Add(first.period)
+	first.stopped = first.period == 0
 	return first
 }
--- a/fleet/announce.go
+++ b/fleet/announce.go
@@ -12,7 +12,30 @@
 
 // Directory is an immutable snapshot of the known backend servers, by pool.
 type Directory struct {
-	pools map[string][]Target
+	pools  map[string][]Target
+	byName map[string]Target
+}
+
+// newDirectory returns a directory of targets. A later target replaces an earlier one of
+// the same name.
+func newDirectory(lists ...[]Target) *Directory {
+	size := 0
+	for _, list := range lists {
+		size += len(list)
+	}
+	d := &Directory{pools: make(map[string][]Target), byName: make(map[string]Target, size)}
+	for _, list := range lists {
+		for _, t := range list {
+			d.byName[t.Name] = t
+		}
+	}
+	for _, t := range d.byName {
+		d.pools[t.Pool] = append(d.pools[t.Pool], t)
+	}
+	for _, pool := range d.pools {
+		slices.SortFunc(pool, func(a, b Target) int { return strings.Compare(a.Name, b.Name) })
+	}
+	return d
 }
 
 // Pool returns the backend servers of a pool, sorted by name.
@@ -21,36 +44,42 @@
 // Pools returns the sorted names of all pools that have backend servers.
 func (d *Directory) Pools() []string { return slices.Sorted(maps.Keys(d.pools)) }
 
-func (d *Directory) Len() int {
-	n := 0
-	for _, pool := range d.pools {
-		n += len(pool)
+// Target returns a backend server by name.
+func (d *Directory) Target(name string) (Target, bool) {
+	t, ok := d.byName[name]
+	return t, ok
+}
+
+// Len returns the number of backend servers.
+func (d *Directory) Len() int { return len(d.byName) }
+
+// all returns the backend servers except those of the given names, in no order.
+func (d *Directory) all(except map[string]bool) []Target {
+	list := make([]Target, 0, len(d.byName))
+	for name, t := range d.byName {
+		if !except[name] {
+			list = append(list, t)
+		}
 	}
-	return n
+	return list
 }
 
 // with returns a copy of the directory with a target added or replaced.
-func (d *Directory) with(t Target) *Directory {
-	next := d.without(t.Name)
-	pool := append(slices.Clone(next.pools[t.Pool]), t)
-	slices.SortFunc(pool, func(a, b Target) int { return strings.Compare(a.Name, b.Name) })
-	next.pools[t.Pool] = pool
-	return next
-}
+func (d *Directory) with(t Target) *Directory { return newDirectory(d.all(nil), []Target{t}) }
 
 // without returns a copy of the directory without a target.
 func (d *Directory) without(name string) *Directory {
-	next := &Directory{pools: make(map[string][]Target, len(d.pools)+1)}
-	for pool, targets := range d.pools {
-		hasName := func(t Target) bool { return t.Name == name }
-		if slices.ContainsFunc(targets, hasName) {
-			targets = slices.DeleteFunc(slices.Clone(targets), hasName)
-		}
-		if len(targets) > 0 {
-			next.pools[pool] = targets
-		}
+	return newDirectory(d.all(map[string]bool{name: true}))
+}
+
+// replace returns a copy of the directory in which one set of targets is replaced by
+// another. Its cost grows with the number of targets, not with its square.
+func (d *Directory) replace(old, next []Target) *Directory {
+	removed := make(map[string]bool, len(old))
+	for _, t := range old {
+		removed[t.Name] = true
 	}
-	return next
+	return newDirectory(d.all(removed), next)
 }
 
 // SetRegistered replaces the set of backend servers that are registered with the
@@ -63,11 +92,7 @@
 		return
 	}
 	before := f.directory.Load()
-	next := before
-	for _, t := range f.registered {
-		next = next.without(t.Name)
-	}
-	next = next.withAll(targets)
+	next := before.replace(f.registered, targets)
 	f.registered = targets
 	f.directory.Store(next)
 	f.recordDirectoryChanges(before, next)
@@ -76,41 +101,16 @@
 // recordDirectoryChanges records the differences between two directories in the
 // event log.
 func (f *Fleet) recordDirectoryChanges(before, after *Directory) {
-	for _, pool := range after.pools {
-		for _, t := range pool {
-			f.recordPhase(before, t)
-		}
+	for _, t := range after.byName {
+		f.recordPhase(before, t)
 	}
-	for name, pool := range before.pools {
-		for _, t := range pool {
-			sameName := func(other Target) bool { return other.Name == t.Name }
-			if !slices.ContainsFunc(after.pools[name], sameName) {
-				f.options.EventLog.Record(event.TargetExpired, t.Name, "pool "+name)
-			}
+	for name, t := range before.byName {
+		if _, present := after.byName[name]; !present {
+			f.options.EventLog.Record(event.TargetExpired, t.Name, "pool "+t.Pool)
 		}
 	}
 }
 
-// withAll returns a copy of the directory with a list of targets added.
-func (d *Directory) withAll(targets []Target) *Directory {
-	next := &Directory{pools: maps.Clone(d.pools)}
-	if next.pools == nil {
-		next.pools = make(map[string][]Target)
-	}
-	modified := make(map[string]bool)
-	for _, t := range targets {
-		if !modified[t.Pool] {
-			modified[t.Pool] = true
-			next.pools[t.Pool] = slices.Clone(next.pools[t.Pool])
-		}
-		next.pools[t.Pool] = append(next.pools[t.Pool], t)
-	}
-	for pool := range modified {
-		slices.SortFunc(next.pools[pool], func(a, b Target) int { return strings.Compare(a.Name, b.Name) })
-	}
-	return next
-}
-
 // Announce handles an announcement that a backend server sent to this entry. It
 // reports false if a newer one is known already.
 func (f *Fleet) Announce(t Target) bool {
@@ -198,12 +198,7 @@
 
 // recordPhase records a new backend server or a change of its phase in the event log.
 func (f *Fleet) recordPhase(before *Directory, t Target) {
-	old := Target{}
-	for _, known := range before.Pool(t.Pool) {
-		if known.Name == t.Name {
-			old = known
-		}
-	}
+	old := before.byName[t.Name]
 	if old.Phase == t.Phase {
 		return
 	}
