Push changes in quick succession to the entries together

Cause: each committed registration was pushed to every entry by itself, and each push was acknowledged: 33,637 deltas and 20,998 watches while 100 entries and 192 servers started (profile of one process, not committed). At most one push each 50 ms is left; a change after a pause is still pushed at once.

Ruled out: acknowledging less often, since in-force waits for acknowledgements.

--- a/ctrl/ctrl.go
+++ b/ctrl/ctrl.go
@@ -84,7 +84,12 @@
 	readToken        uint64
 	watchers         map[string]*watcher
 	bootstrapReplies map[string]*wire.Found
-	beacon           *wire.Beacon
+	// pushScheduled is set while committed changes wait for the next push. lastPush is the
+	// time of the last one, and pushedIndex the index of the state that it contained.
+	pushScheduled bool
+	lastPush      time.Time
+	pushedIndex   uint64
+	beacon        *wire.Beacon
 	// lastBeacon is the time of the last read that was issued for a beacon;
 	// beaconToken identifies that read.
 	lastBeacon  time.Time
--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -114,7 +114,7 @@
 		c.completeRead(r)
 	}
 	if len(e.Committed) > 0 {
-		c.pushDeltas()
+		c.schedulePush(c.options.Clock.Now())
 	}
 	return c.compact()
 }
--- a/ctrl/watch.go
+++ b/ctrl/watch.go
@@ -10,6 +10,9 @@
 const (
 	// pushTimeout is the silence after which no more updates are pushed to an entry.
 	pushTimeout = 5 * time.Second
+	// pushInterval is the shortest time between two pushes to the entries. Changes that are
+	// committed meanwhile, such as the registrations of a starting pool, are sent together.
+	pushInterval = 50 * time.Millisecond
 	// beaconPeriod is the interval between the leader's beacons.
 	beaconPeriod = time.Second
 	// controlsPeriod is the interval at which an entry is sent the list of control
@@ -70,6 +73,9 @@
 	if w.index >= c.Ledger().State().Index() {
 		w.largeDeltaAt = time.Time{} // all parts have been received
 	}
+	if ok && c.pushScheduled && w.index >= c.pushedIndex && !w.brief && w.part == 0 {
+		return // the scheduled push contains all that this entry lacks
+	}
 	c.sendDelta(from, w)
 }
 
@@ -111,10 +117,20 @@
 	return list
 }
 
+// schedulePush pushes new state to the watchers, or leaves that to a later tick if the last
+// push was less than pushInterval ago.
+func (c *Control) schedulePush(now time.Time) {
+	c.pushScheduled = now.Sub(c.lastPush) < pushInterval
+	if !c.pushScheduled {
+		c.pushDeltas()
+	}
+}
+
 // pushDeltas sends new state to the watchers that use this control VM.
 func (c *Control) pushDeltas() {
 	now := c.options.Clock.Now()
 	index := c.Ledger().State().Index()
+	c.lastPush, c.pushedIndex = now, index
 	for vm, w := range c.watchers {
 		if w.sentIndex < index && !w.brief && now.Sub(w.lastHeard) < pushTimeout {
 			c.sendDelta(vm, w)
@@ -169,8 +185,12 @@
 	return true
 }
 
-// tickWatchers renews the leader's beacon and removes entries that went silent.
+// tickWatchers pushes scheduled changes, renews the leader's beacon and removes entries that
+// went silent.
 func (c *Control) tickWatchers(now time.Time) {
+	if c.pushScheduled {
+		c.schedulePush(now)
+	}
 	for vm, w := range c.watchers {
 		if now.Sub(w.lastHeard) > watcherTimeout {
 			delete(c.watchers, vm)
--- a/ctrl/watch_test.go
+++ b/ctrl/watch_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/dottereldeal/dottereldeal/clock"
 	"github.com/dottereldeal/dottereldeal/ledger"
 	"github.com/dottereldeal/dottereldeal/link"
 	"github.com/dottereldeal/dottereldeal/quorum"
@@ -14,6 +16,49 @@
 	"github.com/dottereldeal/dottereldeal/wire"
 )
 
+// countingTransport counts the messages to each VM.
+type countingTransport struct {
+	link.Transport
+	sent map[string]int
+}
+
+func (t countingTransport) Send(vm string, _ *wire.Envelope) bool {
+	t.sent[vm]++
+	return true
+}
+
+// A pool of 400 servers registers within 1.5 s. Each entry must not receive, and
+// acknowledge, 400 updates.
+func TestChangesInQuickSuccessionArePushedTogether(t *testing.T) {
+	is := is.New(t)
+	manual := clock.NewManual(time.Unix(1000, 0))
+	transport := countingTransport{sent: make(map[string]int)}
+	c := &Control{options: newOptions(VM("c1"), Clock(manual)), watchers: make(map[string]*watcher), transport: transport}
+	l := ledger.New(ledger.DefaultDedupWindow)
+	c.ledger.Store(&l)
+	c.status.Store(&quorum.Status{})
+	c.handleWatch("e1", &wire.Watch{DataCentre: "d"})
+	acknowledged := uint64(0)
+	for i := range uint64(400) {
+		set := ticket.Ticket{Number: i + 1, Set: []state.Object{state.Target{Name: fmt.Sprint("s", i), Phase: state.TargetWarm, Count: 1}}}
+		next, outcome := l.Apply(i+1, ledger.Proposal{Ticket: set})
+		is.Equal(outcome.Verdict, ledger.Accepted)
+		l = next
+		c.ledger.Store(&l)
+		c.schedulePush(manual.Now())
+		manual.Advance(3750 * time.Microsecond)
+		c.tickWatchers(manual.Now())
+		if pushed := c.watchers["e1"].sentIndex; pushed > acknowledged {
+			acknowledged = pushed
+			c.handleWatch("e1", &wire.Watch{Index: acknowledged, DataCentre: "d"})
+		}
+	}
+	manual.Advance(pushInterval)
+	c.tickWatchers(manual.Now())
+	is.Equal(c.watchers["e1"].sentIndex, l.State().Index())
+	is.True(transport.sent["e1"] <= 2*int(1500*time.Millisecond/pushInterval)+2)
+}
+
 // discardTransport discards all messages.
 type discardTransport struct{ link.Transport }
 
