--- a/prog/process.go
+++ b/prog/process.go
@@ -223,18 +223,3 @@
 		line.Record(event.CertificateRenewed, "", "")
 	}
 }
-
-// eventLogger writes the events of a process to its log.
-type eventLogger struct {
-	line   *event.Log
-	logger *slog.Logger
-	seq    uint64
-}
-
-func (l *eventLogger) flush() {
-	events, _ := l.line.Since(l.seq)
-	for _, e := range events {
-		l.seq = e.Seq
-		l.logger.Info(string(e.Kind), "object", e.Object, "detail", e.Detail, "stamp", e.At.String())
-	}
-}
