Let the kernel detect silent links instead of a ping each second

Cause: each session pinged its peer each second from both sides, 4 frames and wake-ups a second for each of about 1,100 sessions of 100 entries, more than all messages between them. TCP_USER_TIMEOUT and keep-alive probes of the kernel end such a connection within 2 s without waking the process; a ping each 5 s stays for whatever does not honour them.

--- a/link/options.go
+++ b/link/options.go
@@ -19,7 +19,13 @@
 	maxDialTimeout    = 2 * time.Second
 	handshakeTimeout  = 5 * time.Second
 	writeTimeout      = 2 * time.Second
-	keepAliveInterval = time.Second
+	// keepAliveInterval is the interval of yamux's pings, which cost both sides a wake-up.
+	// They are the last resort: the kernel ends a connection whose data is not acknowledged
+	// within userTimeout, or whose probes, one each probeInterval, are not.
+	keepAliveInterval = 5 * time.Second
+	userTimeout       = 2 * time.Second
+	probeInterval     = time.Second
+	probeCount        = 2
 	// maxQueueAge is the time after which a queued message is dropped.
 	maxQueueAge = 2 * time.Second
 	idleTimeout = 60 * time.Second
--- a/link/peer.go
+++ b/link/peer.go
@@ -247,6 +247,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := setTimeouts(conn); err != nil {
+		conn.Close()
+		return nil, err
+	}
 	var state *tls.ConnectionState
 	if id := p.transport.options.Identity; id != nil {
 		tlsConn := tls.Client(conn, id.ClientConfig(p.vm))
--- a/link/transport.go
+++ b/link/transport.go
@@ -215,6 +215,10 @@
 			time.Sleep(minBackoff)
 			continue
 		}
+		if err := setTimeouts(conn); err != nil {
+			conn.Close() // the peer has gone already
+			continue
+		}
 		t.goroutines.Go(func() { t.serveConn(conn) })
 	}
 }
