Renew the leases of shards in groups and wake limiters on demand

Cause: 66 leases of 100 entries, renewed every 0.2 s at seven voters, were 3,310 messages a second with their answers, more than gossip; and each limiter woke its process 40 times a second to look at requests that were not there.

Four shards are assigned, and thus renewed, together. Requests that wait for a token are looked at each 25 ms while there are some. Ruled out: longer leases, since a lost holder is replaced no sooner than they end.

--- a/entry/options.go
+++ b/entry/options.go
@@ -21,7 +21,7 @@
 	watchPeriod = 500 * time.Millisecond
 	// initialRequestPeriod is the period of requests for the first configuration.
 	initialRequestPeriod = 100 * time.Millisecond
-	limitPeriod          = 25 * time.Millisecond
+	limitPeriod          = 100 * time.Millisecond
 	headerTimeout        = 10 * time.Second
 	callerIdleTimeout    = 90 * time.Second
 	maxHeaderBytes       = 32 << 10
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -176,13 +176,18 @@
 		holder, known := m.holders[name]
 		heldBefore := known && holder.VM == m.options.VM
 		live := known && !heldBefore && boots[holder.VM] == holder.Boot
-		if heldBefore || !live && fleet.Rendezvous(name, members) == m.options.VM {
+		if heldBefore || !live && m.assigned(name, members) == m.options.VM {
 			names = append(names, name)
 		}
 	}
 	return names
 }
 
+// assigned returns the entry that should hold a lease if none does.
+func (m *Manager) assigned(name string, members []string) string {
+	return fleet.Rendezvous(m.options.Group(name), members)
+}
+
 // request requests leases from all voters.
 func (m *Manager) request(names, voters []string, now time.Time) {
 	m.mu.Lock()
@@ -336,7 +341,7 @@
 	}
 	members, _ := m.liveMembers()
 	others := slices.DeleteFunc(members, func(vm string) bool { return vm == holder.VM })
-	next := fleet.Rendezvous(name, others)
+	next := m.assigned(name, others)
 	m.options.EventLog.Record(event.LeaseDoubted, name, "held by "+holder.VM+", takeover requested from "+next)
 	if next == m.options.VM {
 		m.mu.Lock()
--- a/lease/options.go
+++ b/lease/options.go
@@ -11,6 +11,9 @@
 	Boot uint64
 	// Voters returns the entries whose majority grants leases.
 	Voters func() []string
+	// Group returns the name that a lease is assigned by. Leases of one group are assigned to
+	// the same entry, which renews them together.
+	Group func(name string) string
 	// CheckFresh returns why this VM's configuration may be out of date, or nil.
 	CheckFresh func() error
 	Clock      clock.Clock
@@ -30,6 +33,10 @@
 // Voters sets the source of the voters.
 func Voters(f func() []string) Option { return func(o *Options) { o.Voters = f } }
 
+// Group sets the function that returns the group of a lease. By default each lease is a
+// group of its own.
+func Group(f func(name string) string) Option { return func(o *Options) { o.Group = f } }
+
 // CheckFresh sets the check that the configuration is up to date.
 func CheckFresh(f func() error) Option { return func(o *Options) { o.CheckFresh = f } }
 
@@ -43,6 +50,7 @@
 	o := Options{
 		Voters:     func() []string { return nil },
 		CheckFresh: func() error { return nil },
+		Group:      func(name string) string { return name },
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/limit/distributed.go
+++ b/limit/distributed.go
@@ -18,6 +18,11 @@
 const (
 	// ShardCount is the number of shards that workspaces are divided into.
 	ShardCount = 64
+	// shardsPerGroup is the number of shards that one entry is assigned together. It renews
+	// their leases in one message, so the traffic of leases grows with the groups.
+	shardsPerGroup = 4
+	// pendingInterval is the time between two looks at the requests that wait for a token.
+	pendingInterval = 25 * time.Millisecond
 	// waitTimeout bounds how long a request waits for the holder of its shard.
 	waitTimeout = 5 * time.Second
 	// retransmitTimeout is the time after which an unanswered token request is repeated.
@@ -45,6 +50,16 @@
 // ShardName returns the name of the lease of a shard.
 func ShardName(n int) string { return fmt.Sprintf("w%02d", n) }
 
+// ShardGroup returns the group that a shard is assigned with. Other leases are a group of
+// their own.
+func ShardGroup(name string) string {
+	var n int
+	if _, err := fmt.Sscanf(name, "w%d", &n); err != nil || ShardName(n) != name {
+		return name
+	}
+	return fmt.Sprintf("g%02d", n/shardsPerGroup)
+}
+
 // ShardOf returns the name of the lease of a workspace's shard.
 func ShardOf(workspace string) string {
 	return ShardName(int(xxhash.Sum64String(workspace) % ShardCount))
@@ -84,6 +99,8 @@
 	clients   map[string]*client
 	buckets   map[string]*holderBucket
 	lastSweep time.Time
+	// checkScheduled is set while a call of checkPending is due.
+	checkScheduled bool
 }
 
 // client is an entry's state of one workspace.
@@ -109,7 +126,7 @@
 }
 
 // NewDistributed returns a limiter for the whole fleet. Tick must be called several
-// times a second: it repeats token requests that were lost.
+// times a second.
 func NewDistributed(vm string, c clock.Clock, l link.Transport, leases Leases, current func() state.State) *Distributed {
 	return &Distributed{
 		vm: vm, clock: c, link: l, leases: leases, state: current,
@@ -158,6 +175,7 @@
 	p := &pendingRequest{result: make(chan Admission, 1), deadline: waitDeadline(ctx, unresponsive, now)}
 	c.pending = append(c.pending, p)
 	d.requestTokens(w.Name, c, now)
+	d.schedulePendingCheck()
 	d.mu.Unlock()
 	return d.awaitToken(ctx, w, c, p, now)
 }
@@ -309,17 +327,39 @@
 	c.pending = nil
 }
 
-// Tick repeats unanswered token requests and removes unused state.
-func (d *Distributed) Tick(now time.Time) {
-	unreachable := d.unreachableFraction()
+// schedulePendingCheck schedules the next look at the requests that wait. A process in
+// which none does is not woken for it.
+func (d *Distributed) schedulePendingCheck() {
+	if d.checkScheduled {
+		return
+	}
+	d.checkScheduled = true
+	d.clock.After(pendingInterval, d.checkPending)
+}
+
+// checkPending repeats unanswered token requests and admits requests whose tokens have
+// become valid.
+func (d *Distributed) checkPending(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.unreachable = unreachable
+	d.checkScheduled = false
 	for workspace, c := range d.clients {
+		if len(c.pending) == 0 {
+			continue
+		}
+		d.admitPending(workspace, c, now)
 		if len(c.pending) > 0 {
-			d.admitPending(workspace, c, now)
+			d.schedulePendingCheck()
 		}
 	}
+}
+
+// Tick removes unused state, and follows the number of entries that are alive.
+func (d *Distributed) Tick(now time.Time) {
+	unreachable := d.unreachableFraction()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.unreachable = unreachable
 	if now.Sub(d.lastSweep) < idleTimeout {
 		return
 	}
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -184,3 +184,58 @@
 		s.mu.Unlock()
 	}
 }
+
+// The holder of a workspace's shard renews its leases together, so 64 shards cost the
+// messages of 16.
+func TestShardsAreAssignedInGroups(t *testing.T) {
+	is := is.New(t)
+	groups := make(map[string]int)
+	for i := range ShardCount {
+		groups[ShardGroup(ShardName(i))]++
+	}
+	is.Equal(len(groups), ShardCount/shardsPerGroup)
+	for _, n := range groups {
+		is.Equal(n, shardsPerGroup)
+	}
+	is.Equal(ShardGroup("p/loan-desk"), "p/loan-desk")
+	is.Equal(ShardGroup("w1x"), "w1x")
+}
+
+// recordingLink loses all messages.
+type recordingLink struct {
+	link.Transport
+
+	sent []*wire.TokenAsk
+}
+
+func (l *recordingLink) Send(_ string, e *wire.Envelope) bool {
+	l.sent = append(l.sent, e.GetTokenAsk())
+	return true
+}
+
+// A token request that is lost is repeated while a caller waits for it, and nothing wakes
+// the process otherwise.
+func TestLostTokenRequestIsRepeated(t *testing.T) {
+	is := is.New(t)
+	manual := clock.NewManual(time.Unix(1000, 0))
+	w := state.Workspace{Name: "east", Rate: 10, Burst: 10}
+	links := &recordingLink{}
+	d := NewDistributed("e1", manual, links, fixedLeases{vm: "e1", holder: "e2"}, stateWith(w))
+	admitted := make(chan Admission, 1)
+	go func() { admitted <- d.Admit(t.Context(), &w) }()
+	waiting := func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return len(d.clients) > 0 && len(d.clients["east"].pending) > 0
+	}
+	for !waiting() {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(len(links.sent), 1)
+	manual.Advance(retransmitTimeout + pendingInterval)
+	is.Equal(len(links.sent), 2)
+	d.receiveAnswer("e2", &wire.TokenAnswer{Workspace: "east", Seq: links.sent[1].GetSeq(), Tokens: 1, LifetimeMicros: 100_000})
+	is.True((<-admitted).OK)
+	manual.Advance(time.Minute)
+	is.Equal(len(links.sent), 2)
+}
