--- a/prog/control.go
+++ b/prog/control.go
@@ -80,7 +80,7 @@
 		go server.Serve(l)
 		defer server.Close()
 	}
-	return p.runUntilStopped(control.Run, settingsWatch{set: set, apply: p.found.follow(*p.common.listen, control.SetSeeds)})
+	return p.runUntilStopped(control, settingsWatch{set: set, apply: p.found.follow(*p.common.listen, control.SetSeeds)})
 }
 
 const (
--- a/prog/entry.go
+++ b/prog/entry.go
@@ -74,7 +74,7 @@
 				entry.PoolOptions(platform.PoolOptions(bounds)...))
 		}
 		e := entry.New(sockets, opts...)
-		return p.runUntilStopped(e.Run, settingsWatch{set: set, apply: found.follow(*common.listen, e.SetSeeds)})
+		return p.runUntilStopped(e, settingsWatch{set: set, apply: found.follow(*common.listen, e.SetSeeds)})
 	}
 }
 
--- a/prog/process.go
+++ b/prog/process.go
@@ -16,6 +16,7 @@
 	"github.com/dottereldeal/dottereldeal/clock"
 	"github.com/dottereldeal/dottereldeal/conf"
 	"github.com/dottereldeal/dottereldeal/event"
+	"github.com/dottereldeal/dottereldeal/link"
 	"github.com/dottereldeal/dottereldeal/logbuf"
 	"github.com/dottereldeal/dottereldeal/meter"
 	"github.com/dottereldeal/dottereldeal/platform"
@@ -186,8 +187,23 @@
 	}
 }
 
+// trafficPeriod is the time between two log lines on the messages that a process sent.
+const trafficPeriod = 10 * time.Second
+
+// logTraffic logs what a process has sent to other VMs since its start, by kind of message.
+func logTraffic(l *slog.Logger, s link.Stats) {
+	l.Info("traffic", "sent-messages", s.SentMessages, "sent-bytes", s.SentBytes, "received-messages", s.ReceivedMessages,
+		"dropped-messages", s.DroppedMessages, "sessions", s.Sessions, "sent-by-kind", s.SentByKind)
+}
+
+// linked is a process of a fleet with links to others.
+type linked interface {
+	Run(ctx context.Context) error
+	Links() link.Transport
+}
+
 // runUntilStopped runs a process until it is asked to stop, and logs its events.
-func (p process) runUntilStopped(run func(context.Context) error, settings settingsWatch) int {
+func (p process) runUntilStopped(program linked, settings settingsWatch) int {
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	// The settings file is looked at all the time, so the signal needs no answer.
@@ -198,8 +214,9 @@
 		p.clock.Every(certPeriod, func(time.Time) { reloadIdentity(p.identity, p.line) })
 	}
 	p.clock.Every(settingsPeriod, func(time.Time) { settings.look(p.logger) })
+	p.clock.Every(trafficPeriod, func(time.Time) { logTraffic(p.logger, program.Links().Stats()) })
 	p.logger.Info("start", "settings-file", settings.set.FilePath())
-	err := run(ctx)
+	err := program.Run(ctx)
 	p.clock.Stop()
 	logs.flush()
 	defer p.lines.Stop()
