Keep the scheduler's state of a server in one place

Cause: a decision looked up slots, estimates, starts, ramps, ejections, paths and connections of every server by name, after copying the list of eligible servers, and the entry walked all servers again to find the assigned one by name.

The lists are built once for a directory and state.

--- a/health/detector.go
+++ b/health/detector.go
@@ -219,8 +219,12 @@
 
 // forget removes backend servers that are no longer eligible.
 func (d *Detector) forget(eligible []string) {
+	kept := make(map[string]bool, len(eligible))
+	for _, name := range eligible {
+		kept[name] = true
+	}
 	for name := range d.targets {
-		if !slices.Contains(eligible, name) {
+		if !kept[name] {
 			delete(d.targets, name)
 		}
 	}
--- a/health/estimate.go
+++ b/health/estimate.go
@@ -111,14 +111,28 @@
 func NewEstimate(m *Model, now time.Time) Estimate { return Estimate{prob: m.grayShare, at: now} }
 
 // Probability returns the probability of a gray failure at the given time.
-func (e Estimate) Probability(m *Model, now time.Time) float64 {
-	elapsed := now.Sub(e.at)
+func (e Estimate) Probability(m *Model, now time.Time) float64 { return m.At(now).Probability(e) }
+
+// Moment evaluates estimates at one time.
+type Moment struct {
+	now   time.Time
+	share float64
+	rate  float64
+}
+
+// At returns the model at the given time. It is valid until the next result.
+func (m *Model) At(now time.Time) Moment {
+	// Estimates decay at the sum of the rates of both state transitions.
+	return Moment{now: now, share: m.grayShare, rate: 1 / (m.GrayDuration().Seconds() * (1 - m.grayShare))}
+}
+
+// Probability returns the probability of a gray failure.
+func (t Moment) Probability(e Estimate) float64 {
+	elapsed := t.now.Sub(e.at)
 	if elapsed <= 0 {
 		return e.prob
 	}
-	// The estimate decays at the sum of the rates of both state transitions.
-	rate := 1 / (m.GrayDuration().Seconds() * (1 - m.grayShare))
-	return m.grayShare + (e.prob-m.grayShare)*math.Exp(-rate*elapsed.Seconds())
+	return t.share + (e.prob-t.share)*math.Exp(-t.rate*elapsed.Seconds())
 }
 
 // Age returns the time since the last result.
--- a/pick/roundrobin.go
+++ b/pick/roundrobin.go
@@ -115,9 +115,14 @@
 func Eligible(targets []fleet.Target, current state.State) []fleet.Target {
 	list := make([]fleet.Target, 0, len(targets))
 	for _, t := range targets {
-		if t.Phase != fleet.Leaving && !current.IsDataCentreOut(t.DataCentre) {
+		if IsEligible(t, current) {
 			list = append(list, t)
 		}
 	}
 	return list
 }
+
+// IsEligible reports whether a backend server may receive new requests.
+func IsEligible(t fleet.Target, current state.State) bool {
+	return t.Phase != fleet.Leaving && !current.IsDataCentreOut(t.DataCentre)
+}
--- a/pool/cost.go
+++ b/pool/cost.go
@@ -4,47 +4,51 @@
 	"slices"
 	"time"
 
-	"github.com/dottereldeal/dottereldeal/fleet"
 	"github.com/dottereldeal/dottereldeal/health"
 )
 
-// selectServer returns the server with the lowest cost for a request, if one has a free
-// slot.
-func (s *scheduler) selectServer(req request, view poolView, now time.Time) (fleet.Target, bool) {
-	best, found := fleet.Target{}, false
+// selectServer returns the server with the lowest cost for a request, or nil if none of the
+// candidates has a free slot and is good enough.
+func (s *scheduler) selectServer(req request, candidates []*server, view poolView, now time.Time) *server {
+	var best *server
 	bestCost := 0.0
-	for _, t := range view.targets {
-		if !s.hasFreeSlot(t, view, now) || slices.Contains(req.avoid, t.Name) {
+	from := s.sender(req, now)
+	for _, srv := range candidates {
+		if !srv.hasFreeSlot(now) || slices.Contains(req.avoid, srv.name) {
 			continue
 		}
-		cost, usable := s.cost(req, t, view, now)
-		if usable && (!found || cost < bestCost) {
-			best, bestCost, found = t, cost, true
+		cost, usable := s.cost(req, from, srv, view, now)
+		if usable && (best == nil || cost < bestCost) {
+			best, bestCost = srv, cost
 		}
 	}
-	return best, found
+	return best
 }
 
-func (s *scheduler) hasFreeSlot(t fleet.Target, view poolView, now time.Time) bool {
-	if s.inUse[t.Name] >= t.Slots {
-		return false
-	}
-	r := view.ramp(t.Name)
-	return r == nil || r.Available(now)
+// sender is what a decision needs to know about the entry with the request, and about the
+// time at which it is made.
+type sender struct {
+	moment health.Moment
+	entry  int
+	// impaired is set if the entry has a failure on some path.
+	impaired bool
+}
+
+func (s *scheduler) sender(req request, now time.Time) sender {
+	return sender{moment: s.model.At(now), entry: s.entry(req.vm), impaired: s.paths.entryImpaired(req.vm, now)}
 }
 
 // cost returns the cost of sending a request to a server: the probability of failure plus
 // costs for load and network. For the first attempt of an idempotent request, the age of
 // the server's last result counts instead of the probability, so that gray failures are
 // discovered by requests that can be retried.
-func (s *scheduler) cost(req request, t fleet.Target, view poolView, now time.Time) (cost float64, usable bool) {
-	estimate := s.estimate(t, now)
-	gray := estimate.Probability(s.model, now)
-	if slices.Contains(view.ejected, t.Name) {
+func (s *scheduler) cost(req request, from sender, srv *server, view poolView, now time.Time) (cost float64, usable bool) {
+	gray := from.moment.Probability(srv.estimate)
+	if srv.ejected {
 		gray = max(gray, ejectedGray)
 	}
-	load := loadCost*float64(s.inUse[t.Name])/float64(max(1, t.Slots)) + s.networkCost(req, t, view, now)
-	overdue := s.overdue(t, now)
+	load := loadCost*float64(srv.inUse)/float64(max(1, srv.slots)) + s.networkCost(req, from, srv, view, now)
+	overdue := srv.overdue(now)
 	if !req.idempotent || len(req.avoid) > 0 {
 		// Retries use the safest server instead of an overdue one.
 		if overdue && (view.belowFloor || s.failureShare > overdueFailureShare) && len(req.avoid) == 0 {
@@ -55,13 +59,7 @@
 	if gray > maxGrayIdempotent && !overdue {
 		return 0, false
 	}
-	return load*stalenessScale.Seconds() - estimate.Age(now).Seconds() - s.explorationBonus(estimate), true
-}
-
-// overdue reports whether a server has received no request for maxIdle, whatever its
-// estimate. Ejections are decided by the failure detector, within the floor.
-func (s *scheduler) overdue(t fleet.Target, now time.Time) bool {
-	return now.Sub(s.lastAssigned[t.Name]) >= maxIdle
+	return load*stalenessScale.Seconds() - srv.estimate.Age(now).Seconds() - s.explorationBonus(srv.estimate), true
 }
 
 // belowFloor reports whether more servers are overdue than the floor permits while
@@ -71,25 +69,25 @@
 		return false
 	}
 	overdue := 0
-	for _, t := range view.targets {
-		if s.overdue(t, now) {
+	for _, srv := range s.servers {
+		if srv.overdue(now) {
 			overdue++
 		}
 	}
-	return overdue > health.MaxEjected(len(view.targets), view.floor)
+	return overdue > health.MaxEjected(len(s.servers), view.floor)
 }
 
 // networkCost returns the cost of reaching a server: for another data centre, a connection
 // that is not open yet, or an impaired path.
-func (s *scheduler) networkCost(req request, t fleet.Target, view poolView, now time.Time) float64 {
+func (s *scheduler) networkCost(req request, from sender, srv *server, view poolView, now time.Time) float64 {
 	cost := 0.0
-	if t.DataCentre != req.dataCentre {
+	if srv.dataCentre != req.dataCentre {
 		cost += min(remoteCost+remoteByteCost*float64(req.bytes), maxRemoteCost)
 	}
-	if s.paths.impaired(req.vm, t.Name, now) {
+	if from.impaired && s.paths.serverImpaired(srv.name, now) {
 		cost += impairedPathCost
 	}
-	if view.idleTimeout > 0 && now.Sub(s.lastContact[endpoints{req.vm, t.Name}]) >= view.idleTimeout {
+	if view.idleTimeout > 0 && !srv.connected(from.entry, view.idleTimeout, now) {
 		cost += dialCost
 	}
 	return cost
@@ -103,31 +101,22 @@
 	return 1
 }
 
-// estimate returns the failure estimate of a server. A restarted server starts with a new
-// one.
-func (s *scheduler) estimate(t fleet.Target, now time.Time) health.Estimate {
-	estimate, ok := s.estimates[t.Name]
-	if !ok || s.boots[t.Name] != t.Boot {
-		estimate = health.NewEstimate(s.model, now)
-		s.estimates[t.Name], s.boots[t.Name] = estimate, t.Boot
-	}
-	return estimate
-}
-
 // placeRegardless assigns a request that cannot wait to the least doubtful server with a
 // free slot, or rejects it.
-func (s *scheduler) placeRegardless(req request, retryAfter time.Duration, view poolView, now time.Time) placement {
-	best, found := fleet.Target{}, false
-	for _, t := range view.targets {
-		if !s.hasFreeSlot(t, view, now) || slices.Contains(req.avoid, t.Name) {
+func (s *scheduler) placeRegardless(req request, retryAfter time.Duration, now time.Time) placement {
+	var best *server
+	lowest := 0.0
+	moment := s.model.At(now)
+	for _, srv := range s.servers {
+		if !srv.hasFreeSlot(now) || slices.Contains(req.avoid, srv.name) {
 			continue
 		}
-		if !found || s.estimate(t, now).Probability(s.model, now) < s.estimate(best, now).Probability(s.model, now) {
-			best, found = t, true
+		if gray := moment.Probability(srv.estimate); best == nil || gray < lowest {
+			best, lowest = srv, gray
 		}
 	}
-	if !found || !now.Before(req.deadline) {
+	if best == nil || !now.Before(req.deadline) {
 		return placement{request: req, retryAfter: retryAfter}
 	}
-	return s.assign(req, best, view, now)
+	return s.assign(req, best, now)
 }
--- a/pool/holder.go
+++ b/pool/holder.go
@@ -23,6 +23,8 @@
 	warmed map[string]uint64
 	// scheduler assigns requests to backend servers in the placement mode "holder".
 	scheduler *scheduler
+	// view is the scheduler's view of the pool.
+	view poolView
 	// published is the status that was last gossiped.
 	published status
 }
@@ -48,6 +50,26 @@
 	}
 }
 
+// setTargets replaces the servers of the pool.
+func (h *holder) setTargets(targets []fleet.Target, settings state.Pool, idleTimeout time.Duration) {
+	for _, t := range targets {
+		h.startColdRamp(t, settings)
+	}
+	h.view = poolView{targets: targets, floor: settings.Floor, idleTimeout: idleTimeout, ramp: func(name string) *Ramp { return h.ramps[name] }}
+	h.refreshView()
+}
+
+// refreshView passes changed ejections and ramps to the scheduler.
+func (h *holder) refreshView() {
+	h.view.ejected = nil
+	for _, e := range h.detector.Ejected() {
+		h.view.ejected = append(h.view.ejected, e.Target)
+	}
+	if h.view.ramp != nil {
+		h.scheduler.refresh(h.view)
+	}
+}
+
 // permitsFrom returns the time from which this holder may issue permits. All permits
 // of the previous holder have expired by then.
 func (h *holder) permitsFrom() time.Time { return h.since.Add(maxPermitUse) }
@@ -61,24 +83,26 @@
 
 // evaluate updates ramps and ejections. It returns the new status and the changes.
 func (h *holder) evaluate(targets []fleet.Target, settings state.Pool, now time.Time) (status, health.Decision) {
-	var names []string
-	for _, t := range targets {
-		names = append(names, t.Name)
+	names := make([]string, len(targets))
+	boots := make(map[string]uint64, len(targets))
+	for i, t := range targets {
+		names[i], boots[t.Name] = t.Name, t.Boot
 		h.startColdRamp(t, settings)
 	}
 	for name := range h.warmed {
-		if !slices.Contains(names, name) {
+		if _, present := boots[name]; !present {
 			delete(h.warmed, name)
 		}
 	}
 	for name, r := range h.ramps {
-		if !slices.Contains(names, name) {
+		boot, present := boots[name]
+		if !present {
 			delete(h.ramps, name)
 			continue
 		}
 		if r.Finished(now) {
 			delete(h.ramps, name)
-			h.warmed[name] = bootOf(targets, name)
+			h.warmed[name] = boot
 		}
 	}
 	decision := h.detector.Evaluate(names, settings.Floor, h.probationCount(targets), now)
@@ -88,6 +112,7 @@
 	for _, e := range decision.Ejected {
 		delete(h.ramps, e.Target)
 	}
+	h.refreshView()
 	return h.status(), decision
 }
 
@@ -120,15 +145,6 @@
 	}
 }
 
-func bootOf(targets []fleet.Target, name string) uint64 {
-	for _, t := range targets {
-		if t.Name == name {
-			return t.Boot
-		}
-	}
-	return 0
-}
-
 // probationCount returns the number of backend servers that are ramping although they
 // announce that they are warm.
 func (h *holder) probationCount(targets []fleet.Target) int {
@@ -159,6 +175,7 @@
 	delete(h.warmed, t.Name)
 	if _, ramping := h.ramps[t.Name]; !ramping {
 		h.ramps[t.Name] = newRamp(t, settings)
+		h.refreshView()
 	}
 }
 
--- a/pool/paths.go
+++ b/pool/paths.go
@@ -55,9 +55,12 @@
 	return true
 }
 
-// impaired reports whether the path between an entry and a server should be avoided.
-func (p *paths) impaired(vm, server string, now time.Time) bool {
-	return recent(p.entryFailures, vm, now) && recent(p.serverFailures, server, now)
+// entryImpaired and serverImpaired report whether an entry or a server has had a failure on
+// some path. A path between two such ones should be avoided.
+func (p *paths) entryImpaired(vm string, now time.Time) bool { return recent(p.entryFailures, vm, now) }
+
+func (p *paths) serverImpaired(server string, now time.Time) bool {
+	return recent(p.serverFailures, server, now)
 }
 
 func recent(failures map[string]time.Time, name string, now time.Time) bool {
--- a/pool/paths_test.go
+++ b/pool/paths_test.go
@@ -43,7 +43,7 @@
 					stillRunning = append(stillRunning, e)
 					continue
 				}
-				s.done(e.key, health.Result{Kind: e.kind, Latency: e.latency}, view, now)
+				s.done(e.key, health.Result{Kind: e.kind, Latency: e.latency}, now)
 			}
 			running = stillRunning
 			if random.Float64() >= 160*step.Seconds() {
@@ -75,9 +75,9 @@
 			e.at = now.Add(e.latency)
 			running = append(running, e)
 		}
-		for _, target := range view.targets {
-			if b := s.estimate(target, startTime.Add(cutStart+cutDuration)); b.Probability(s.model, startTime.Add(cutStart+cutDuration)) > maxGrayNonIdempotent {
-				t.Errorf("seed %d: %s has a high failure estimate", seed, target.Name)
+		for _, srv := range s.servers {
+			if srv.estimate.Probability(s.model, startTime.Add(cutStart+cutDuration)) > maxGrayNonIdempotent {
+				t.Errorf("seed %d: %s has a high failure estimate", seed, srv.name)
 			}
 		}
 	}
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/dottereldeal/dottereldeal/fleet"
@@ -12,9 +13,27 @@
 	"github.com/dottereldeal/dottereldeal/state"
 )
 
-// eligible returns the backend servers of a pool that may receive new requests.
+// eligibleCache holds the eligible servers of the pools for one directory and state.
+type eligibleCache struct {
+	directory  *fleet.Directory
+	stateIndex uint64
+	pools      sync.Map // pool name to []fleet.Target
+}
+
+// eligible returns the backend servers of a pool that may receive new requests. The slice
+// stays the same until the directory or the state changes, and must not be modified.
 func (b *Balancer) eligible(pool string) []fleet.Target {
-	return pick.Eligible(b.fleet.Directory().Pool(pool), b.options.State())
+	directory, current := b.fleet.Directory(), b.options.State()
+	cache := b.eligibleServers.Load()
+	if cache == nil || cache.directory != directory || cache.stateIndex != current.Index() {
+		cache = &eligibleCache{directory: directory, stateIndex: current.Index()}
+		b.eligibleServers.Store(cache)
+	}
+	if list, ok := cache.pools.Load(pool); ok {
+		return list.([]fleet.Target)
+	}
+	list, _ := cache.pools.LoadOrStore(pool, pick.Eligible(directory.Pool(pool), current))
+	return list.([]fleet.Target)
 }
 
 // Pick returns the backend server that the pool's holder assigns. If the holder is not
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -141,25 +141,23 @@
 }
 
 // acceptSlot uses the backend server that the holder has assigned. If this VM does not
-// know the server yet, the slot is released.
+// know the server yet, or knows that it must not be used, the slot is released.
 func (b *Balancer) acceptSlot(pool, holder string, id uint64, name string) (pick.Choice, bool) {
-	for _, t := range b.eligible(pool) {
-		if t.Name != name {
-			continue
-		}
-		b.mu.Lock()
-		choice := b.newChoice(b.poolState(pool), t, false, b.options.Clock.Now())
-		b.mu.Unlock()
-		choice.RetryCounted = true
-		finish := choice.Done
-		choice.Done = func(r health.Result) {
-			finish(r)
-			b.releaseSlot(pool, holder, id, r)
-		}
-		return choice, true
+	t, known := b.fleet.Directory().Target(name)
+	if !known || t.Pool != pool || !pick.IsEligible(t, b.options.State()) {
+		b.releaseSlot(pool, holder, id, health.Result{})
+		return pick.Choice{}, false
 	}
-	b.releaseSlot(pool, holder, id, health.Result{})
-	return pick.Choice{}, false
+	b.mu.Lock()
+	choice := b.newChoice(b.poolState(pool), t, false, b.options.Clock.Now())
+	b.mu.Unlock()
+	choice.RetryCounted = true
+	finish := choice.Done
+	choice.Done = func(r health.Result) {
+		finish(r)
+		b.releaseSlot(pool, holder, id, r)
+	}
+	return choice, true
 }
 
 // releaseSlot reports the result of a request to the holder, which frees its slot. An
@@ -196,17 +194,15 @@
 	return []placement{h.scheduler.place(req, b.poolView(m.GetPool(), h), now)}
 }
 
-// poolView returns the scheduler's view of the backend servers of its pool.
+// poolView returns the scheduler's view of the backend servers of its pool. It costs no more
+// for a large pool than for a small one while neither the servers nor the state change.
 func (b *Balancer) poolView(pool string, h *holder) poolView {
-	settings, _ := state.Get[state.Pool](b.options.State(), pool)
-	view := poolView{targets: b.eligible(pool), floor: settings.Floor, idleTimeout: b.options.KeepConnections, ramp: func(name string) *Ramp { return h.ramps[name] }}
-	for _, t := range view.targets {
-		h.startColdRamp(t, settings)
-	}
-	for _, e := range h.detector.Ejected() {
-		view.ejected = append(view.ejected, e.Target)
+	targets := b.eligible(pool)
+	if !sameSlice(targets, h.view.targets) || h.view.ramp == nil {
+		settings, _ := state.Get[state.Pool](b.options.State(), pool)
+		h.setTargets(targets, settings, b.options.KeepConnections)
 	}
-	return view
+	return h.view
 }
 
 // receiveSlotAsk handles the slot request of another entry.
@@ -272,9 +268,8 @@
 		b.mu.Unlock()
 		return
 	}
-	view := b.poolView(m.GetPool(), h)
-	h.scheduler.done(requestKey{from, m.GetId()}, result, view, now)
-	placements := h.scheduler.placeQueued(view, now)
+	h.scheduler.done(requestKey{from, m.GetId()}, result, now)
+	placements := h.scheduler.placeQueued(b.poolView(m.GetPool(), h), now)
 	b.mu.Unlock()
 	b.sendPlacements(m.GetPool(), placements)
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -18,6 +18,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -51,6 +52,8 @@
 	fleet   *fleet.Fleet
 	leases  *lease.Manager
 
+	eligibleServers atomic.Pointer[eligibleCache]
+
 	mu      sync.Mutex
 	pools   map[string]*poolState
 	holders map[string]*holder
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -88,16 +88,11 @@
 	id uint64
 }
 
-// endpoints identifies the connection between an entry and a server.
-type endpoints struct {
-	vm, target string
-}
-
 func (req request) key() requestKey { return requestKey{req.vm, req.id} }
 
 // assignment is a slot in use.
 type assignment struct {
-	target    string
+	server    *server
 	workspace string
 	since     time.Time
 	until     time.Time
@@ -125,39 +120,38 @@
 // answered successfully, probes the others with idempotent ones, and rejects at once what
 // cannot be answered in time.
 type scheduler struct {
-	model       *health.Model
-	estimates   map[string]health.Estimate
-	boots       map[string]uint64
-	inUse       map[string]int
+	model *health.Model
+	// servers are the servers of the pool in the order of poolView.targets, which they were
+	// last synchronised with.
+	servers     []*server
+	byName      map[string]*server
+	synced      []fleet.Target
+	entries     map[string]int // positions of the entries in server.contacts
 	assignments map[requestKey]assignment
 	queue       []request
 	running     map[string]int // assignments by workspace
 	serviceTime time.Duration
 	// failureShare is the share of the most recent requests that failed.
 	failureShare float64
-	// lastAssigned is the time at which each server last received a request.
-	lastAssigned map[string]time.Time
 	paths        *paths
-	// lastContact is the time at which an entry last received an answer from a server.
-	lastContact map[endpoints]time.Time
 	// budget limits the retries of the whole fleet.
 	budget *retry.Budget
+	// free is reused by withFreeSlot.
+	free []*server
 }
 
 func newScheduler(budget ...retry.Option) *scheduler {
 	return &scheduler{
-		model: health.NewModel(), estimates: make(map[string]health.Estimate), boots: make(map[string]uint64),
-		inUse: make(map[string]int), assignments: make(map[requestKey]assignment),
-		lastContact:  make(map[endpoints]time.Time),
-		lastAssigned: make(map[string]time.Time),
-		paths:        newPaths(),
-		running:      make(map[string]int), serviceTime: initialServiceTime,
+		model: health.NewModel(), byName: make(map[string]*server), entries: make(map[string]int),
+		assignments: make(map[requestKey]assignment), paths: newPaths(),
+		running: make(map[string]int), serviceTime: initialServiceTime,
 		budget: retry.NewBudget(budget...),
 	}
 }
 
 // poolView is the scheduler's input: the state of the pool's servers.
 type poolView struct {
+	// targets are the eligible servers. The slice is replaced, not modified, when they change.
 	targets []fleet.Target
 	// ejected servers are used only if there is no other.
 	ejected []string
@@ -173,43 +167,45 @@
 
 // place assigns, queues or rejects a request.
 func (s *scheduler) place(req request, view poolView, now time.Time) placement {
+	s.sync(view, now)
 	s.budget.Deposit()
 	if req.arrived && !s.budget.Withdraw() {
 		return placement{request: req, retryAfter: minRetryAfter}
 	}
 	view.belowFloor = s.belowFloor(view, now)
-	if target, ok := s.selectServer(req, view, now); ok {
-		return s.assign(req, target, view, now)
+	if srv := s.selectServer(req, s.servers, view, now); srv != nil {
+		return s.assign(req, srv, now)
 	}
 	wait, possible := s.queueWait(req, view, now)
 	if !possible {
-		return s.placeRegardless(req, wait, view, now)
+		return s.placeRegardless(req, wait, now)
 	}
 	s.queue = append(s.queue, req)
 	return placement{request: req, queued: true}
 }
 
 // assign takes a slot for a request.
-func (s *scheduler) assign(req request, target fleet.Target, view poolView, now time.Time) placement {
-	a := assignment{final: !req.idempotent || req.arrived, target: target.Name, workspace: req.workspace, since: now, until: req.deadline.Add(abandonedAfter)}
-	if r := view.ramp(target.Name); r != nil {
+func (s *scheduler) assign(req request, srv *server, now time.Time) placement {
+	a := assignment{final: !req.idempotent || req.arrived, server: srv, workspace: req.workspace, since: now, until: req.deadline.Add(abandonedAfter)}
+	if srv.ramp != nil {
 		a.ramping = true
-		r.Grant(now)
+		srv.ramp.Grant(now)
 	}
-	s.lastAssigned[target.Name] = now
-	s.inUse[target.Name]++
+	srv.lastAssigned = now
+	srv.inUse++
 	s.assignments[req.key()] = a
 	s.running[req.workspace]++
-	return placement{request: req, target: target.Name}
+	return placement{request: req, target: srv.name}
 }
 
 // queueWait estimates how long a request would wait in the queue, and reports whether it
 // could still be answered in time.
 func (s *scheduler) queueWait(req request, view poolView, now time.Time) (time.Duration, bool) {
 	slots := 0
-	for _, t := range view.targets {
-		if s.estimate(t, now).Probability(s.model, now) <= maxGrayNonIdempotent {
-			slots += t.Slots
+	moment := s.model.At(now)
+	for _, srv := range s.servers {
+		if moment.Probability(srv.estimate) <= maxGrayNonIdempotent {
+			slots += srv.slots
 		}
 	}
 	if slots == 0 {
@@ -229,7 +225,7 @@
 
 // done frees the slot of a request, or removes the request from the queue. An empty kind
 // means that the request was not sent.
-func (s *scheduler) done(key requestKey, r health.Result, view poolView, now time.Time) {
+func (s *scheduler) done(key requestKey, r health.Result, now time.Time) {
 	a, assigned := s.assignments[key]
 	if !assigned {
 		s.queue = slices.DeleteFunc(s.queue, func(req request) bool { return req.key() == key })
@@ -237,41 +233,38 @@
 	}
 	s.release(key, a)
 	if r.Kind == health.OK || r.Kind == health.Failed {
-		s.lastContact[endpoints{key.vm, a.target}] = now
+		a.server.setContact(s.entry(key.vm), now)
 	}
-	if ramp := view.ramp(a.target); a.ramping && ramp != nil {
-		ramp.Done(r.Kind == health.OK, now)
+	if a.ramping && a.server.ramp != nil {
+		a.server.ramp.Done(r.Kind == health.OK, now)
 	}
 	if a.final && r.Kind != "" && r.Kind != health.Cancelled {
 		s.recordServed(r.Kind == health.OK)
 	}
-	if s.paths.recordResult(key.vm, a.target, r.Kind, a.since, now) {
+	if s.paths.recordResult(key.vm, a.server.name, r.Kind, a.since, now) {
 		return
 	}
-	s.observe(a.target, r, now)
+	s.observe(a.server, r, now)
 }
 
 func (s *scheduler) release(key requestKey, a assignment) {
 	delete(s.assignments, key)
-	if s.inUse[a.target]--; s.inUse[a.target] <= 0 {
-		delete(s.inUse, a.target)
-	}
+	a.server.inUse--
 	if s.running[a.workspace]--; s.running[a.workspace] <= 0 {
 		delete(s.running, a.workspace)
 	}
 }
 
 // observe updates the estimate of a server with a result.
-func (s *scheduler) observe(target string, r health.Result, now time.Time) {
-	estimate, known := s.estimates[target]
-	if !known || r.Kind == "" || r.Kind == health.Cancelled {
+func (s *scheduler) observe(srv *server, r health.Result, now time.Time) {
+	if r.Kind == "" || r.Kind == health.Cancelled {
 		return
 	}
 	if r.Kind == health.OK {
 		s.serviceTime += time.Duration(serviceTimeWeight * float64(r.Latency-s.serviceTime))
 	}
 	bad := r.Kind.Bad() || r.Kind == health.Late || r.Kind == health.Shed
-	s.estimates[target] = estimate.WithResult(s.model, bad, now)
+	srv.estimate = srv.estimate.WithResult(s.model, bad, now)
 }
 
 // recordServed counts a request that succeeded or finally failed. Failures that a retry
@@ -286,87 +279,73 @@
 
 // tick removes expired state, then places or rejects queued requests.
 func (s *scheduler) tick(view poolView, now time.Time) []placement {
+	s.sync(view, now)
 	for key, a := range s.assignments {
 		if now.After(a.until) {
 			s.release(key, a)
 		}
 	}
-	s.forget(view.targets)
-	for v, at := range s.lastContact {
-		if now.Sub(at) > view.idleTimeout {
-			delete(s.lastContact, v)
-		}
-	}
 	return s.placeQueued(view, now)
 }
 
-// forget removes servers that have left the pool.
-func (s *scheduler) forget(targets []fleet.Target) {
-	for name := range s.estimates {
-		if !slices.ContainsFunc(targets, func(t fleet.Target) bool { return t.Name == name }) {
-			delete(s.estimates, name)
-			delete(s.boots, name)
-			delete(s.lastAssigned, name)
-			s.paths.forget(name)
-		}
-	}
-}
-
 // placeQueued assigns queued requests to free slots. Requests that can no longer be
 // answered in time are sent to any server or rejected.
 func (s *scheduler) placeQueued(view poolView, now time.Time) []placement {
+	if len(s.queue) == 0 {
+		return nil
+	}
+	s.sync(view, now)
 	var placements []placement
 	s.queue = slices.DeleteFunc(s.queue, func(req request) bool {
 		late := now.Add(s.serviceTime).After(req.deadline)
 		if late {
-			placements = append(placements, s.placeRegardless(req, minRetryAfter, view, now))
+			placements = append(placements, s.placeRegardless(req, minRetryAfter, now))
 		}
 		return late
 	})
 	view.belowFloor = s.belowFloor(view, now)
 	for len(s.queue) > 0 {
-		free := view
-		free.targets = s.withFreeSlot(view, now)
-		if len(free.targets) == 0 {
+		free := s.withFreeSlot(now)
+		if len(free) == 0 {
 			return placements
 		}
-		at, target := s.nextQueued(free, now)
+		at, srv := s.nextQueued(free, view, now)
 		if at < 0 {
 			return placements
 		}
 		req := s.queue[at]
 		s.queue = slices.Delete(s.queue, at, at+1)
-		placements = append(placements, s.assign(req, target, view, now))
+		placements = append(placements, s.assign(req, srv, now))
 	}
 	return placements
 }
 
-// withFreeSlot returns the servers that have a free slot.
-func (s *scheduler) withFreeSlot(view poolView, now time.Time) []fleet.Target {
-	var list []fleet.Target
-	for _, t := range view.targets {
-		if s.hasFreeSlot(t, view, now) {
-			list = append(list, t)
+// withFreeSlot returns the servers that have a free slot, until the next call.
+func (s *scheduler) withFreeSlot(now time.Time) []*server {
+	s.free = s.free[:0]
+	for _, srv := range s.servers {
+		if srv.hasFreeSlot(now) {
+			s.free = append(s.free, srv)
 		}
 	}
-	return list
+	return s.free
 }
 
 // nextQueued returns the queue position and the server of the request to place next: the
 // most urgent one, then one that can still meet its objective, then one of the workspace
 // with the fewest requests running, then the oldest.
-func (s *scheduler) nextQueued(view poolView, now time.Time) (int, fleet.Target) {
+func (s *scheduler) nextQueued(free []*server, view poolView, now time.Time) (int, *server) {
 	best := -1
-	target := fleet.Target{}
+	var selected *server
 	for i, req := range s.queue {
 		if best >= 0 && !s.precedes(req, s.queue[best], now) {
 			continue
 		}
-		if t, ok := s.selectServer(req, view, now); ok {
-			best, target = i, t
+		if srv := s.selectServer(req, free, view, now); srv != nil {
+			best, selected = i, srv
 		}
 	}
-	return best, target
+	return best, selected
 }
 
 // precedes reports whether request a is placed before b, which arrived earlier.
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -64,7 +64,7 @@
 			result.rejected++
 			return
 		}
-		result.maxInUse[r.target] = max(result.maxInUse[r.target], s.inUse[r.target])
+		result.maxInUse[r.target] = max(result.maxInUse[r.target], s.byName[r.target].inUse)
 		e := completion{key: r.request.key(), target: r.target, kind: health.OK, latency: l.service}
 		if gray(r.target, now) && random.Float64() < 0.75 {
 			e.kind, e.latency = health.Failed, time.Millisecond
@@ -86,7 +86,7 @@
 				stillRunning = append(stillRunning, e)
 				continue
 			}
-			s.done(e.key, health.Result{Kind: e.kind, Latency: e.latency}, view, now)
+			s.done(e.key, health.Result{Kind: e.kind, Latency: e.latency}, now)
 		}
 		running = stillRunning
 		for _, r := range s.placeQueued(view, now) {
@@ -149,7 +149,7 @@
 	is.Equal(s.place(newRequest(1, 2), view, startTime).target, "s")
 	is.True(s.place(newRequest(2, 2), view, startTime).queued)
 	is.True(s.place(newRequest(3, 0), view, startTime).queued)
-	s.done(requestKey{"e", 1}, health.Result{Kind: health.OK, Latency: 100 * time.Millisecond}, view, startTime)
+	s.done(requestKey{"e", 1}, health.Result{Kind: health.OK, Latency: 100 * time.Millisecond}, startTime)
 	placements := s.placeQueued(view, startTime)
 	is.Equal(len(placements), 1)
 	is.Equal(placements[0].request.id, uint64(3))
@@ -181,7 +181,7 @@
 	req := request{vm: "e", id: 1, objective: startTime.Add(time.Second), deadline: startTime.Add(time.Second)}
 	is.Equal(s.place(req, view, startTime).target, "s")
 	s.tick(view, startTime.Add(time.Second+abandonedAfter+1))
-	is.Equal(s.inUse["s"], 0)
+	is.Equal(s.byName["s"].inUse, 0)
 }
 
 // A cold server can take only a few requests per second. A new holder must respect that
@@ -199,7 +199,7 @@
 		req := request{vm: "e", id: id, idempotent: true, objective: startTime.Add(time.Second), deadline: startTime.Add(time.Second)}
 		if s.place(req, view, startTime.Add(time.Duration(id)*time.Millisecond)).target != "" {
 			assigned++
-			s.done(req.key(), health.Result{Kind: health.OK, Latency: time.Millisecond}, view, startTime)
+			s.done(req.key(), health.Result{Kind: health.OK, Latency: time.Millisecond}, startTime)
 		}
 	}
 	is.True(assigned <= 10)
@@ -215,12 +215,10 @@
 		view.targets = append(view.targets, fleet.Target{Name: name, Slots: 4, Boot: 1})
 	}
 	s := newScheduler(retry.Slack(60, func() int { return 1 }))
-	for _, target := range view.targets {
-		s.estimate(target, startTime)
-	}
+	s.sync(view, startTime)
 	now := startTime.Add(5 * time.Second)
-	s.observe("proven", health.Result{Kind: health.OK}, now)
-	s.observe("failed", health.Result{Kind: health.Failed}, now)
+	s.observe(s.byName["proven"], health.Result{Kind: health.OK}, now)
+	s.observe(s.byName["failed"], health.Result{Kind: health.Failed}, now)
 	req := request{vm: "e", id: 1, idempotent: true, objective: now.Add(time.Second), deadline: now.Add(time.Second)}
 	is.Equal(s.place(req, view, now).target, "old") // the server with the oldest result
 	req.id, req.avoid = 2, []string{"old"}
@@ -306,10 +304,10 @@
 	req := request{vm: "e", id: 1, dataCentre: "near", bytes: 60_000, objective: startTime.Add(time.Second), deadline: startTime.Add(time.Second)}
 	first := s.place(req, view, startTime).target
 	is.True(first != "s0")
-	s.done(req.key(), health.Result{Kind: health.OK, Latency: time.Millisecond}, view, startTime)
+	s.done(req.key(), health.Result{Kind: health.OK, Latency: time.Millisecond}, startTime)
 	req.id = 2
 	is.Equal(s.place(req, view, startTime.Add(time.Second)).target, first)
-	s.observe(first, health.Result{Kind: health.Failed}, startTime.Add(time.Second))
+	s.observe(s.byName[first], health.Result{Kind: health.Failed}, startTime.Add(time.Second))
 	req.id = 3
 	is.True(s.place(req, view, startTime.Add(time.Second)).target != first) // health takes precedence
 }
@@ -348,7 +346,7 @@
 				stillRunning = append(stillRunning, e)
 				continue
 			}
-			s.done(e.key, health.Result{Kind: e.kind, Latency: e.latency}, view, now)
+			s.done(e.key, health.Result{Kind: e.kind, Latency: e.latency}, now)
 		}
 		running = stillRunning
 		if now.Sub(startTime) > 3*window {
--- /dev/null
+++ b/pool/server.go
@@ -0,0 +1,116 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/dottereldeal/dottereldeal/fleet"
+	"github.com/dottereldeal/dottereldeal/health"
+)
+
+// server is the scheduler's state of one backend server. A decision reads the state of every
+// server of the pool, so it is kept in one place instead of maps by name.
+type server struct {
+	name       string
+	dataCentre string
+	slots      int
+	boot       uint64
+	estimate   health.Estimate
+	inUse      int
+	// ramp is set while the server is cold.
+	ramp    *Ramp
+	ejected bool
+	// lastAssigned is the time at which the server last received a request.
+	lastAssigned time.Time
+	// contacts holds the time at which each entry last received an answer from the server.
+	contacts []time.Time
+}
+
+// hasFreeSlot reports whether the server can be sent a request.
+func (srv *server) hasFreeSlot(now time.Time) bool {
+	return srv.inUse < srv.slots && (srv.ramp == nil || srv.ramp.Available(now))
+}
+
+// overdue reports whether the server has received no request for maxIdle, whatever its
+// estimate. Ejections are decided by the failure detector, within the floor.
+func (srv *server) overdue(now time.Time) bool { return now.Sub(srv.lastAssigned) >= maxIdle }
+
+// connected reports whether an entry is likely to have an open connection to the server.
+func (srv *server) connected(entry int, idleTimeout time.Duration, now time.Time) bool {
+	return entry < len(srv.contacts) && now.Sub(srv.contacts[entry]) < idleTimeout
+}
+
+func (srv *server) setContact(entry int, now time.Time) {
+	if entry >= len(srv.contacts) {
+		srv.contacts = append(srv.contacts, make([]time.Time, entry+1-len(srv.contacts))...)
+	}
+	srv.contacts[entry] = now
+}
+
+// maxEntries bounds the entries whose connections are known. Names of VMs that are gone are
+// not removed one by one.
+const maxEntries = 4096
+
+// entry returns the position of an entry in server.contacts.
+func (s *scheduler) entry(vm string) int {
+	position, known := s.entries[vm]
+	if known {
+		return position
+	}
+	if len(s.entries) >= maxEntries {
+		clear(s.entries)
+		for _, srv := range s.servers {
+			srv.contacts = nil
+		}
+	}
+	position = len(s.entries)
+	s.entries[vm] = position
+	return position
+}
+
+// sync updates the servers if the pool's targets have changed. A restarted server starts
+// with a new estimate.
+func (s *scheduler) sync(view poolView, now time.Time) {
+	if sameSlice(s.synced, view.targets) {
+		return
+	}
+	s.synced = view.targets
+	servers := make([]*server, 0, len(view.targets))
+	byName := make(map[string]*server, len(view.targets))
+	for _, t := range view.targets {
+		srv, known := s.byName[t.Name]
+		if !known {
+			srv = &server{name: t.Name}
+		}
+		if !known || srv.boot != t.Boot {
+			srv.estimate, srv.boot = health.NewEstimate(s.model, now), t.Boot
+		}
+		srv.dataCentre, srv.slots = t.DataCentre, t.Slots
+		servers = append(servers, srv)
+		byName[t.Name] = srv
+	}
+	for name := range s.byName {
+		if byName[name] == nil {
+			s.paths.forget(name)
+		}
+	}
+	s.servers, s.byName = servers, byName
+	s.refresh(view)
+}
+
+// refresh updates which servers are ejected or cold.
+func (s *scheduler) refresh(view poolView) {
+	for _, srv := range s.servers {
+		srv.ejected = false
+		srv.ramp = view.ramp(srv.name)
+	}
+	for _, name := range view.ejected {
+		if srv := s.byName[name]; srv != nil {
+			srv.ejected = true
+		}
+	}
+}
+
+// sameSlice reports whether two slices are the same, not only equal.
+func sameSlice(a, b []fleet.Target) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
