Judge servers by their running requests

Load: a third of the servers turns gray for seconds at any time, requests that must run once take a few hundred milliseconds, a gray server fails within some. Cause: a success said that its server was well when the answer came, though it shows the state at the start of the request, a service time earlier; and a server that hangs was noticed at the deadline.

A request that has not failed early counts for its server at once, as far as failures of the pool are seen to come early; a success counts from its start on; overdue requests of two entries count against a server. The weight of load falls from 0.02 to 0.005, since it spread requests over servers of which less is known.

--- a/health/estimate.go
+++ b/health/estimate.go
@@ -138,10 +138,15 @@
 // Age returns the time since the last result.
 func (e Estimate) Age(now time.Time) time.Duration { return now.Sub(e.at) }
 
-// WithResult returns the estimate after a result.
-func (e Estimate) WithResult(m *Model, bad bool, now time.Time) Estimate {
-	before := e.Probability(m, now)
-	gray, healthy := 1-grayFailureRate, 1-m.errorRate
+// WithResult returns the estimate after a result that shows the state of the server at the
+// given time. seen is the part of the failures that would have shown before and was counted
+// by WithoutFailure, 0 if that was not called for the request.
+func (e Estimate) WithResult(m *Model, bad bool, seen float64, at time.Time) Estimate {
+	if at.Before(e.at) {
+		at = e.at
+	}
+	before := e.Probability(m, at)
+	gray, healthy := (1-grayFailureRate)/(1-grayFailureRate*seen), 1-m.errorRate
 	if bad {
 		gray, healthy = grayFailureRate, m.errorRate
 	}
@@ -149,8 +154,25 @@
 	m.Update(before, after, bad)
 	inEpisode := e.inEpisode
 	if inEpisode || e.prob > grayThreshold {
-		m.addEpisodeTime(now.Sub(e.at), after)
+		m.addEpisodeTime(at.Sub(e.at), after)
 		inEpisode = after > recoveredThreshold
 	}
-	return Estimate{prob: after, at: now, inEpisode: inEpisode, Observed: true}
+	return Estimate{prob: after, at: at, inEpisode: inEpisode, Observed: true}
+}
+
+// WithoutFailure returns the estimate after a request has run for so long that the part seen
+// of all failures would have shown.
+//
+// Gray servers fail a request within milliseconds, while an answer takes a few hundred: that
+// a server has not failed at once is known much sooner than its success.
+func (e Estimate) WithoutFailure(m *Model, seen float64, at time.Time) Estimate {
+	if at.Before(e.at) {
+		at = e.at
+	}
+	before := e.Probability(m, at)
+	gray := 1 - grayFailureRate*seen
+	e.prob = before * gray / (before*gray + 1 - before)
+	e.at = at
+	e.Observed = true
+	return e
 }
--- a/health/estimate_test.go
+++ b/health/estimate_test.go
@@ -33,7 +33,7 @@
 				if gray[i] {
 					bad = random.Float64() < 0.9
 				}
-				estimates[i] = estimates[i].WithResult(model, bad, now)
+				estimates[i] = estimates[i].WithResult(model, bad, 0, now)
 			}
 		}
 		if learned := model.GrayDuration(); learned < duration/2 || learned > 2*duration {
--- a/pool/paths.go
+++ b/pool/paths.go
@@ -47,14 +47,19 @@
 	default:
 		return false
 	}
-	last, known := p.lastAnswer[server]
-	if !known || last.vm == vm || !last.at.After(sent) {
+	if !p.answeredOther(vm, server, sent) {
 		return false
 	}
 	p.entryFailures[vm], p.serverFailures[server] = now, now
 	return true
 }
 
+// answeredOther reports whether a server has answered another entry since a request was sent.
+func (p *paths) answeredOther(vm, server string, sent time.Time) bool {
+	last, known := p.lastAnswer[server]
+	return known && last.vm != vm && last.at.After(sent)
+}
+
 // entryImpaired and serverImpaired report whether an entry or a server has had a failure on
 // some path. A path between two such ones should be avoided.
 func (p *paths) entryImpaired(vm string, now time.Time) bool { return recent(p.entryFailures, vm, now) }
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -29,7 +29,7 @@
 	overdueBonus = 1.0
 	// loadCost is the cost of a fully used server relative to an idle one, in units of
 	// failure probability.
-	loadCost = 0.02
+	loadCost = 0.005
 	// remoteCost is the cost of a server in another data centre, and remoteByteCost that of
 	// each byte sent there, up to maxRemoteCost in total.
 	remoteCost     = 0.004
@@ -99,6 +99,8 @@
 	// final is set if no retry can follow this attempt.
 	final   bool
 	ramping bool
+	// seen is the part of the failures that would have shown by now.
+	seen float64
 }
 
 // placement is the scheduler's decision on a request: it is assigned to a target, queued,
@@ -134,6 +136,7 @@
 	// failureShare is the share of the most recent requests that failed.
 	failureShare float64
 	paths        *paths
+	evidence     evidence
 	// budget limits the retries of the whole fleet.
 	budget *retry.Budget
 	// free is reused by withFreeSlot.
@@ -144,7 +147,7 @@
 	return &scheduler{
 		model: health.NewModel(), byName: make(map[string]*server), entries: make(map[string]int),
 		assignments: make(map[requestKey]assignment), paths: newPaths(),
-		running: make(map[string]int), serviceTime: initialServiceTime,
+		running: make(map[string]int), serviceTime: initialServiceTime, evidence: newEvidence(),
 		budget: retry.NewBudget(budget...),
 	}
 }
@@ -168,6 +171,7 @@
 // place assigns, queues or rejects a request.
 func (s *scheduler) place(req request, view poolView, now time.Time) placement {
 	s.sync(view, now)
+	s.observeRunning(now)
 	s.budget.Deposit()
 	if req.arrived && !s.budget.Withdraw() {
 		return placement{request: req, retryAfter: minRetryAfter}
@@ -194,6 +198,7 @@
 	srv.lastAssigned = now
 	srv.inUse++
 	s.assignments[req.key()] = a
+	s.evidence.started(req.key(), now)
 	s.running[req.workspace]++
 	return placement{request: req, target: srv.name}
 }
@@ -244,7 +249,7 @@
 	if s.paths.recordResult(key.vm, a.server.name, r.Kind, a.since, now) {
 		return
 	}
-	s.observe(a.server, r, now)
+	s.observe(a, r, now)
 }
 
 func (s *scheduler) release(key requestKey, a assignment) {
@@ -255,16 +260,20 @@
 	}
 }
 
-// observe updates the estimate of a server with a result.
-func (s *scheduler) observe(srv *server, r health.Result, now time.Time) {
-	if r.Kind == "" || r.Kind == health.Cancelled {
+// observe updates the estimate of a server with a result. A success shows the state of the
+// server when it accepted the request, a failure its present state.
+func (s *scheduler) observe(a assignment, r health.Result, now time.Time) {
+	bad := r.Kind.Bad() || r.Kind == health.Late || r.Kind == health.Shed
+	switch {
+	case r.Kind == "" || r.Kind == health.Cancelled:
 		return
-	}
-	if r.Kind == health.OK {
+	case bad:
+		s.evidence.failed(r, s.serviceTime)
+		a.server.estimate = a.server.estimate.WithResult(s.model, true, 0, now)
+	default:
 		s.serviceTime += time.Duration(serviceTimeWeight * float64(r.Latency-s.serviceTime))
+		a.server.estimate = a.server.estimate.WithResult(s.model, false, a.seen, a.since)
 	}
-	bad := r.Kind.Bad() || r.Kind == health.Late || r.Kind == health.Shed
-	srv.estimate = srv.estimate.WithResult(s.model, bad, now)
 }
 
 // recordServed counts a request that succeeded or finally failed. Failures that a retry
@@ -280,6 +289,7 @@
 // tick removes expired state, then places or rejects queued requests.
 func (s *scheduler) tick(view poolView, now time.Time) []placement {
 	s.sync(view, now)
+	s.observeRunning(now)
 	for key, a := range s.assignments {
 		if now.After(a.until) {
 			s.release(key, a)
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -24,6 +24,8 @@
 	grayShare    float64 // share of servers with a gray failure at a time
 	grayDuration time.Duration
 	duration     time.Duration
+	// failureLatency is the time after which a gray server fails a request.
+	failureLatency time.Duration
 }
 
 // loadResult counts the results of non-idempotent requests.
@@ -67,7 +69,7 @@
 		result.maxInUse[r.target] = max(result.maxInUse[r.target], s.byName[r.target].inUse)
 		e := completion{key: r.request.key(), target: r.target, kind: health.OK, latency: l.service}
 		if gray(r.target, now) && random.Float64() < 0.75 {
-			e.kind, e.latency = health.Failed, time.Millisecond
+			e.kind, e.latency = health.Failed, l.failureLatency
 		}
 		e.at = now.Add(e.latency)
 		running = append(running, e)
@@ -109,6 +111,7 @@
 var typicalLoad = grayFailureLoad{
 	servers: 27, slots: 4, perSecond: 165, idempotent: 0.36, service: 190 * time.Millisecond,
 	grayShare: 0.3, grayDuration: 2700 * time.Millisecond, duration: 20 * time.Second,
+	failureLatency: time.Millisecond,
 }
 
 // With a third of the servers gray at a time, selection by load alone fails more than a
@@ -217,8 +220,8 @@
 	s := newScheduler(retry.Slack(60, func() int { return 1 }))
 	s.sync(view, startTime)
 	now := startTime.Add(5 * time.Second)
-	s.observe(s.byName["proven"], health.Result{Kind: health.OK}, now)
-	s.observe(s.byName["failed"], health.Result{Kind: health.Failed}, now)
+	s.observe(assignment{server: s.byName["proven"], since: now}, health.Result{Kind: health.OK}, now)
+	s.observe(assignment{server: s.byName["failed"], since: now}, health.Result{Kind: health.Failed}, now)
 	req := request{vm: "e", id: 1, idempotent: true, objective: now.Add(time.Second), deadline: now.Add(time.Second)}
 	is.Equal(s.place(req, view, now).target, "old") // the server with the oldest result
 	req.id, req.avoid = 2, []string{"old"}
@@ -307,7 +310,7 @@
 	s.done(req.key(), health.Result{Kind: health.OK, Latency: time.Millisecond}, startTime)
 	req.id = 2
 	is.Equal(s.place(req, view, startTime.Add(time.Second)).target, first)
-	s.observe(s.byName[first], health.Result{Kind: health.Failed}, startTime.Add(time.Second))
+	s.observe(assignment{server: s.byName[first]}, health.Result{Kind: health.Failed}, startTime.Add(time.Second))
 	req.id = 3
 	is.True(s.place(req, view, startTime.Add(time.Second)).target != first) // health takes precedence
 }
--- a/pool/server.go
+++ b/pool/server.go
@@ -21,6 +21,9 @@
 	ejected bool
 	// lastAssigned is the time at which the server last received a request.
 	lastAssigned time.Time
+	// overdueRequest is the last request without a result that was not held against the server,
+	// because one entry alone had such requests.
+	overdueRequest overdueRequest
 	// contacts holds the time at which each entry last received an answer from the server.
 	contacts []time.Time
 }
