Report to a holder only what it does not know

Cause: each entry reported the results of all its requests to the holder of the pool, at once after a failure, and ten times a second while any of them had run for 200 ms, which is nearly always.

The holder feeds its failure detector with the results of the requests that it has placed, which also say whether the server is cold. Reports are left for requests that an entry has placed by itself.

--- a/pool/placement.go
+++ b/pool/placement.go
@@ -148,22 +148,28 @@
 		b.releaseSlot(pool, holder, id, health.Result{})
 		return pick.Choice{}, false
 	}
-	b.mu.Lock()
-	choice := b.newChoice(b.poolState(pool), t, false, b.options.Clock.Now())
-	b.mu.Unlock()
-	choice.RetryCounted = true
-	finish := choice.Done
-	choice.Done = func(r health.Result) {
-		finish(r)
+	return pick.Choice{Target: t, RetryCounted: true, Done: func(r health.Result) {
+		b.finishPlaced(pool, t.Name, r)
 		b.releaseSlot(pool, holder, id, r)
+	}}, true
+}
+
+// finishPlaced records the result of a request that the holder has placed, for choices of
+// this VM alone. It is not part of the reports to the holder, which receives it by itself.
+func (b *Balancer) finishPlaced(pool, target string, r health.Result) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	ps := b.poolState(pool)
+	ps.server(target).recordLocally(r, b.options.Clock.Now())
+	if r.Kind == health.OK {
+		ps.latency.add(r.Latency)
 	}
-	return choice, true
 }
 
 // releaseSlot reports the result of a request to the holder, which frees its slot. An
 // empty result means that the request was not sent.
 func (b *Balancer) releaseSlot(pool, holder string, id uint64, r health.Result) {
-	m := &wire.SlotDone{Pool: pool, Id: id, Result: string(r.Kind), LatencyMicros: uint64(r.Latency.Microseconds())}
+	m := &wire.SlotDone{Pool: pool, Id: id, Result: string(r.Kind), LatencyMicros: uint64(r.Latency.Microseconds()), Cold: r.Cold}
 	if holder == b.options.VM {
 		b.receiveSlotDone(holder, m, b.options.Clock.Now())
 		return
@@ -260,7 +266,7 @@
 // receiveSlotDone frees a slot and places queued requests.
 func (b *Balancer) receiveSlotDone(from string, m *wire.SlotDone, now time.Time) {
 	result := health.Result{
-		Kind: health.Kind(m.GetResult()), Latency: time.Duration(m.GetLatencyMicros()) * time.Microsecond,
+		Kind: health.Kind(m.GetResult()), Latency: time.Duration(m.GetLatencyMicros()) * time.Microsecond, Cold: m.GetCold(),
 	}
 	b.mu.Lock()
 	h := b.localHolder(m.GetPool())
@@ -268,12 +274,29 @@
 		b.mu.Unlock()
 		return
 	}
-	h.scheduler.done(requestKey{from, m.GetId()}, result, now)
+	if target, assigned := h.scheduler.done(requestKey{from, m.GetId()}, result, now); assigned {
+		b.recordPlaced(h, from, m.GetPool(), target, result, now)
+	}
 	placements := h.scheduler.placeQueued(b.poolView(m.GetPool(), h), now)
 	b.mu.Unlock()
 	b.sendPlacements(m.GetPool(), placements)
 }
 
+// recordPlaced passes the result of a request that this holder has placed to the failure
+// detector, and starts the ramp of a server that turned out to be cold.
+func (b *Balancer) recordPlaced(h *holder, vm, pool, target string, r health.Result, now time.Time) {
+	report := health.Report{Target: target, Cold: r.Cold}
+	report.Stats.Add(r)
+	h.report(vm, []health.Report{report}, now)
+	if !r.Cold {
+		return
+	}
+	if t, known := b.fleet.Directory().Target(target); known && t.Pool == pool {
+		settings, _ := state.Get[state.Pool](b.options.State(), pool)
+		h.markCold(t, settings)
+	}
+}
+
 // tickScheduler runs the periodic work of the scheduler of a pool held by this VM.
 func (b *Balancer) tickScheduler(pool string, now time.Time) {
 	b.mu.Lock()
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -228,13 +228,13 @@
 	return max(wait, minRetryAfter), possible
 }
 
-// done frees the slot of a request, or removes the request from the queue. An empty kind
-// means that the request was not sent.
-func (s *scheduler) done(key requestKey, r health.Result, now time.Time) {
+// done frees the slot of a request and returns its server, or removes the request from the
+// queue. An empty kind means that the request was not sent.
+func (s *scheduler) done(key requestKey, r health.Result, now time.Time) (target string, assigned bool) {
 	a, assigned := s.assignments[key]
 	if !assigned {
 		s.queue = slices.DeleteFunc(s.queue, func(req request) bool { return req.key() == key })
-		return
+		return "", false
 	}
 	s.release(key, a)
 	if r.Kind == health.OK || r.Kind == health.Failed {
@@ -246,10 +246,10 @@
 	if a.final && r.Kind != "" && r.Kind != health.Cancelled {
 		s.recordServed(r.Kind == health.OK)
 	}
-	if s.paths.recordResult(key.vm, a.server.name, r.Kind, a.since, now) {
-		return
+	if !s.paths.recordResult(key.vm, a.server.name, r.Kind, a.since, now) {
+		s.observe(a, r, now)
 	}
-	s.observe(a, r, now)
+	return a.server.name, true
 }
 
 func (s *scheduler) release(key requestKey, a assignment) {
--- a/pool/stats.go
+++ b/pool/stats.go
@@ -46,10 +46,16 @@
 	return longest
 }
 
+// recordResult records a result for the next report and for choices of this VM.
 func (s *serverStats) recordResult(r health.Result, now time.Time) {
 	s.stats.Add(r)
+	s.cold = s.cold || r.Cold
+	s.recordLocally(r, now)
+}
+
+// recordLocally records a result for choices of this VM only.
+func (s *serverStats) recordLocally(r health.Result, now time.Time) {
 	if r.Cold {
-		s.cold = true
 		s.coldUntil = now.Add(coldTTL)
 	}
 	switch {
