--- a/ctrl/ctrl.go
+++ b/ctrl/ctrl.go
@@ -84,6 +84,10 @@
 	readToken        uint64
 	watchers         map[string]*watcher
 	bootstrapReplies map[string]*wire.Found
+	// lastDivisionCheck is the time of the last check of the divisions, and dividedIndex the
+	// index of the state that was checked.
+	lastDivisionCheck time.Time
+	dividedIndex      uint64
 	// pushScheduled is set while committed changes wait for the next push. lastPush is the
 	// time of the last one, and pushedIndex the index of the state that it contained.
 	pushScheduled bool
@@ -298,6 +302,7 @@
 	c.tickWatchers(now)
 	c.tickInForce(now)
 	c.tickVoters(now)
+	c.tickDivisions(now)
 }
 
 // Ledger returns the latest state that this replica has applied.
--- a/ctrl/voters.go
+++ b/ctrl/voters.go
@@ -48,7 +48,11 @@
 	if record, ok := current.Record(ref); ok && !c.inForce(record.Index) {
 		return
 	}
-	change := ticket.Ticket{Number: ledger.SystemNumber, Set: []state.Object{state.ActiveVoters{VMs: next}}}
+	c.proposeSystemChange(ticket.Ticket{Number: ledger.SystemNumber, Set: []state.Object{state.ActiveVoters{VMs: next}}})
+}
+
+// proposeSystemChange proposes a change of the leader itself.
+func (c *Control) proposeSystemChange(change ticket.Ticket) {
 	data, err := ledger.EncodeProposal(ledger.Proposal{Ticket: change, Author: systemAuthor})
 	if err != nil {
 		return
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -95,11 +95,11 @@
 	if len(voters) == 0 || outdated != nil {
 		return
 	}
-	members, boots := m.liveMembers()
+	members := m.liveMembers()
 	m.mu.Lock()
 	var names []string
 	if !m.stopping {
-		names = m.namesToRequest(now, members, boots)
+		names = m.namesToRequest(now, members)
 	}
 	m.mu.Unlock()
 	for batch := range slices.Chunk(names, maxBatch) {
@@ -140,24 +140,40 @@
 	}
 }
 
-// liveMembers returns the sorted entries that are alive and not draining, and the boot
-// number of each.
-func (m *Manager) liveMembers() ([]string, map[string]uint64) {
-	var vms []string
-	boots := make(map[string]uint64)
+// liveMembers are the entries that are alive and not draining.
+type liveMembers struct {
+	vms   []string // sorted
+	boots map[string]uint64
+	// byDataCentre holds the same entries by their data centre.
+	byDataCentre map[string][]string
+}
+
+func (m *Manager) liveMembers() liveMembers {
+	live := liveMembers{boots: make(map[string]uint64), byDataCentre: make(map[string][]string)}
 	for _, member := range m.fleet.Members() {
 		if member.Eligible() {
-			vms = append(vms, member.VM)
-			boots[member.VM] = member.Boot
+			live.vms = append(live.vms, member.VM)
+			live.boots[member.VM] = member.Boot
+			live.byDataCentre[member.DataCentre] = append(live.byDataCentre[member.DataCentre], member.VM)
 		}
 	}
-	return vms, boots
+	return live
+}
+
+// without returns the members without one of them.
+func (l liveMembers) without(vm string) liveMembers {
+	isVM := func(other string) bool { return other == vm }
+	rest := liveMembers{vms: slices.DeleteFunc(slices.Clone(l.vms), isVM), boots: l.boots, byDataCentre: make(map[string][]string)}
+	for dataCentre, vms := range l.byDataCentre {
+		rest.byDataCentre[dataCentre] = slices.DeleteFunc(slices.Clone(vms), isVM)
+	}
+	return rest
 }
 
 // namesToRequest returns the leases to request: those that are held and due for renewal,
 // those that this VM is asked to take over, and those without a live holder that are
 // assigned to this VM.
-func (m *Manager) namesToRequest(now time.Time, members []string, boots map[string]uint64) []string {
+func (m *Manager) namesToRequest(now time.Time, members liveMembers) []string {
 	var names []string
 	for _, name := range m.names {
 		if _, held := m.holder.Held(name, now); held {
@@ -175,7 +191,7 @@
 		}
 		holder, known := m.holders[name]
 		heldBefore := known && holder.VM == m.options.VM
-		live := known && !heldBefore && boots[holder.VM] == holder.Boot
+		live := known && !heldBefore && members.boots[holder.VM] == holder.Boot
 		if heldBefore || !live && m.assigned(name, members) == m.options.VM {
 			names = append(names, name)
 		}
@@ -184,8 +200,12 @@
 }
 
 // assigned returns the entry that should hold a lease if none does.
-func (m *Manager) assigned(name string, members []string) string {
-	return fleet.Rendezvous(m.options.Group(name), members)
+func (m *Manager) assigned(name string, members liveMembers) string {
+	candidates := members.vms
+	if near := members.byDataCentre[m.options.DataCentre(name)]; len(near) > 0 {
+		candidates = near
+	}
+	return fleet.Rendezvous(m.options.Group(name), candidates)
 }
 
 // request requests leases from all voters.
@@ -339,9 +359,7 @@
 	if !takeover {
 		return
 	}
-	members, _ := m.liveMembers()
-	others := slices.DeleteFunc(members, func(vm string) bool { return vm == holder.VM })
-	next := m.assigned(name, others)
+	next := m.assigned(name, m.liveMembers().without(holder.VM))
 	m.options.EventLog.Record(event.LeaseDoubted, name, "held by "+holder.VM+", takeover requested from "+next)
 	if next == m.options.VM {
 		m.mu.Lock()
--- a/lease/options.go
+++ b/lease/options.go
@@ -14,6 +14,9 @@
 	// Group returns the name that a lease is assigned by. Leases of one group are assigned to
 	// the same entry, which renews them together.
 	Group func(name string) string
+	// DataCentre returns the data centre in which a lease should be held, or an empty string.
+	// It is held elsewhere while no entry there can hold it.
+	DataCentre func(name string) string
 	// CheckFresh returns why this VM's configuration may be out of date, or nil.
 	CheckFresh func() error
 	Clock      clock.Clock
@@ -37,6 +40,9 @@
 // group of its own.
 func Group(f func(name string) string) Option { return func(o *Options) { o.Group = f } }
 
+// DataCentre sets the function that returns the data centre in which a lease should be held.
+func DataCentre(f func(name string) string) Option { return func(o *Options) { o.DataCentre = f } }
+
 // CheckFresh sets the check that the configuration is up to date.
 func CheckFresh(f func() error) Option { return func(o *Options) { o.CheckFresh = f } }
 
@@ -51,6 +57,7 @@
 		Voters:     func() []string { return nil },
 		CheckFresh: func() error { return nil },
 		Group:      func(name string) string { return name },
+		DataCentre: func(string) string { return "" },
 	}
 	for _, opt := range opts {
 		opt(&o)
--- /dev/null
+++ b/pool/cell.go
@@ -0,0 +1,168 @@
+package pool
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dottereldeal/dottereldeal/fleet"
+	"github.com/dottereldeal/dottereldeal/pick"
+	"github.com/dottereldeal/dottereldeal/state"
+)
+
+// A cell is a part of the servers of a pool that has a holder of its own. A pool that is not
+// divided is a single cell of the same name. The cells of a divided pool are named
+// POOL@DATA-CENTRE.NUMBER; a server belongs to the same one as long as the division stays.
+//
+// One holder that places all requests of a pool becomes its bottleneck from some hundred
+// servers on. Cells lie within data centres, so that most requests are placed and served
+// without leaving theirs.
+
+// cellSeparator separates the name of a pool from the part that names the cell.
+const cellSeparator = "@"
+
+// cellOf returns the cell of a server.
+func cellOf(t fleet.Target, d state.Division) string {
+	if d.CellsPerDataCentre == 0 {
+		return t.Pool
+	}
+	number := xxhash.Sum64String(t.Name) % uint64(d.CellsPerDataCentre)
+	return t.Pool + cellSeparator + t.DataCentre + "." + strconv.FormatUint(number, 10)
+}
+
+// poolOfCell returns the pool that a cell belongs to.
+func poolOfCell(cell string, s state.State) string {
+	if _, isPool := state.Get[state.Pool](s, cell); isPool {
+		return cell
+	}
+	if at := strings.LastIndex(cell, cellSeparator); at >= 0 {
+		return cell[:at]
+	}
+	return cell
+}
+
+// LeaseName returns the name of the lease of a cell.
+func LeaseName(cell string) string { return leasePrefix + cell }
+
+const leasePrefix = "p/"
+
+// LeaseDataCentre returns the data centre of the cell that a lease belongs to, or an empty
+// string for other leases and for cells without a data centre.
+func LeaseDataCentre(lease string) string {
+	cell, isCell := strings.CutPrefix(lease, leasePrefix)
+	at, dot := strings.LastIndex(cell, cellSeparator), strings.LastIndex(cell, ".")
+	if !isCell || at < 0 || dot < at {
+		return ""
+	}
+	return cell[at+1 : dot]
+}
+
+// serverLists holds the eligible servers of all pools and cells for one directory and state.
+type serverLists struct {
+	directory  *fleet.Directory
+	stateIndex uint64
+	pools      sync.Map // name of a pool to *poolServers
+}
+
+// poolServers holds the eligible servers of one pool. The slices must not be modified.
+type poolServers struct {
+	all   []fleet.Target
+	cells map[string][]fleet.Target
+	// names are the sorted names of the cells with eligible servers, and near those of the
+	// data centre of this VM.
+	names, near []string
+}
+
+// servers returns the eligible servers of a pool. The result stays the same until the
+// directory or the state changes.
+func (b *Balancer) servers(pool string) *poolServers {
+	directory, current := b.fleet.Directory(), b.options.State()
+	lists := b.serverLists.Load()
+	if lists == nil || lists.directory != directory || lists.stateIndex != current.Index() {
+		lists = &serverLists{directory: directory, stateIndex: current.Index()}
+		b.serverLists.Store(lists)
+	}
+	if list, ok := lists.pools.Load(pool); ok {
+		return list.(*poolServers)
+	}
+	division, _ := state.Get[state.Division](current, pool)
+	list, _ := lists.pools.LoadOrStore(pool, newPoolServers(pick.Eligible(directory.Pool(pool), current), division, b.options.DataCentre))
+	return list.(*poolServers)
+}
+
+func newPoolServers(eligible []fleet.Target, d state.Division, dataCentre string) *poolServers {
+	p := &poolServers{all: eligible, cells: make(map[string][]fleet.Target)}
+	for _, t := range eligible {
+		cell := cellOf(t, d)
+		if p.cells[cell] == nil {
+			p.names = append(p.names, cell)
+		}
+		p.cells[cell] = append(p.cells[cell], t)
+	}
+	slices.Sort(p.names)
+	for _, cell := range p.names {
+		if d.CellsPerDataCentre > 0 && p.cells[cell][0].DataCentre == dataCentre {
+			p.near = append(p.near, cell)
+		}
+	}
+	return p
+}
+
+// homeCells returns the cells of a pool in the order in which this VM asks them: first those
+// of its data centre, each time in an order of its own, so that entries spread over them.
+func (p *poolServers) homeCells(vm string) []string {
+	if len(p.names) < 2 {
+		return p.names
+	}
+	first := p.near
+	if len(first) == 0 {
+		first = p.names
+	}
+	home := fleet.Rendezvous(vm, first)
+	order := []string{home}
+	for _, cell := range slices.Concat(p.near, p.names) {
+		if !slices.Contains(order, cell) {
+			order = append(order, cell)
+		}
+	}
+	return order
+}
+
+// cellServers returns the eligible servers of a cell.
+func (b *Balancer) cellServers(cell string) []fleet.Target {
+	return b.servers(poolOfCell(cell, b.options.State())).cells[cell]
+}
+
+// settings returns the settings of the pool of a cell.
+func (b *Balancer) settings(cell string) state.Pool {
+	current := b.options.State()
+	settings, _ := state.Get[state.Pool](current, poolOfCell(cell, current))
+	return settings
+}
+
+// cells returns the names of all cells of a pool. An undivided pool has one even without
+// servers.
+func (b *Balancer) cells(pool string) []string {
+	names := b.servers(pool).names
+	if len(names) > 0 {
+		return names
+	}
+	if d, _ := state.Get[state.Division](b.options.State(), pool); d.CellsPerDataCentre > 0 {
+		return nil
+	}
+	return []string{pool}
+}
+
+// LeaseNames returns the names of the leases of all cells of all pools.
+func (b *Balancer) LeaseNames() []string {
+	var names []string
+	for _, settings := range b.options.Settings() {
+		for _, cell := range b.cells(settings.Name) {
+			names = append(names, LeaseName(cell))
+		}
+	}
+	return names
+}
--- a/pool/holder.go
+++ b/pool/holder.go
@@ -25,8 +25,11 @@
 	scheduler *scheduler
 	// view is the scheduler's view of the pool.
 	view poolView
-	// published is the status that was last gossiped.
-	published status
+	// published is the status that was last gossiped, at publishedAt.
+	published   status
+	publishedAt time.Time
+	// loadSentAt is when the load of the cell was last sent to the holders of others.
+	loadSentAt time.Time
 }
 
 // status is the state of a pool that its holder publishes to all entries: the ejected
@@ -43,6 +46,12 @@
 	return slices.Equal(s.ejected, other.ejected) && slices.Equal(s.cold, other.cold) && maps.Equal(s.warmed, other.warmed)
 }
 
+// withEjected returns a copy of the status with other ejected servers.
+func (s status) withEjected(names []string) status {
+	s.ejected = names
+	return s
+}
+
 func newHolder(since time.Time, budget ...retry.Option) *holder {
 	return &holder{
 		since: since, detector: health.NewDetector(), scheduler: newScheduler(budget...),
@@ -70,6 +79,22 @@
 	}
 }
 
+// publishInterval is the shortest time between two publications of changed ejections alone
+// if entries do not choose by themselves.
+const publishInterval = 3 * time.Second
+
+// publishDue reports whether to gossip the status of the cell, and if so takes it as
+// published. Every entry must know at once which servers are cold. Ejections matter only to
+// entries that choose by themselves.
+func (h *holder) publishDue(next status, mode PlacementMode, now time.Time) bool {
+	onlyEjections := next.withEjected(h.published.ejected).equal(h.published)
+	if next.equal(h.published) || mode == PlacementHolder && onlyEjections && now.Sub(h.publishedAt) < publishInterval {
+		return false
+	}
+	h.published, h.publishedAt = next, now
+	return true
+}
+
 // permitsFrom returns the time from which this holder may issue permits. All permits
 // of the previous holder have expired by then.
 func (h *holder) permitsFrom() time.Time { return h.since.Add(maxPermitUse) }
@@ -125,12 +150,14 @@
 		warmed = false
 	}
 	if t.Phase == fleet.Cold && !ramping && !warmed {
-		h.ramps[t.Name] = newRamp(t, settings)
+		h.ramps[t.Name] = h.newRamp(t, settings)
 	}
 }
 
-func newRamp(t fleet.Target, settings state.Pool) *Ramp {
-	return NewRamp(t.Slots, max(1, settings.ColdSlots), time.Duration(settings.Ramp)).WithRate(settings.ColdRate)
+// newRamp returns the ramp of a cold server. The previous holder may have used the rate of
+// the server until the last moment.
+func (h *holder) newRamp(t fleet.Target, settings state.Pool) *Ramp {
+	return NewRamp(t.Slots, max(1, settings.ColdSlots), time.Duration(settings.Ramp)).WithRate(settings.ColdRate).WithStart(h.since.Add(rateWindow))
 }
 
 // probationRamp is the longest ramp of a readmitted backend server. The server is not
@@ -174,7 +201,7 @@
 func (h *holder) markCold(t fleet.Target, settings state.Pool) {
 	delete(h.warmed, t.Name)
 	if _, ramping := h.ramps[t.Name]; !ramping {
-		h.ramps[t.Name] = newRamp(t, settings)
+		h.ramps[t.Name] = h.newRamp(t, settings)
 		h.refreshView()
 	}
 }
--- a/pool/options.go
+++ b/pool/options.go
@@ -21,10 +21,11 @@
 	Placement PlacementMode
 	// KeepConnections is how long entries keep idle connections to backend servers.
 	KeepConnections time.Duration
-	// RetryBudget configures the retry budget that a holder keeps for its pool.
-	RetryBudget []retry.Option
-	Clock       clock.Clock
-	EventLog    *event.Log
+	// RetryRatio and RetrySlack limit the retries of a pool, if RetryBudget was called.
+	RetryRatio, RetrySlack float64
+	retryBudgetSet         bool
+	Clock                  clock.Clock
+	EventLog               *event.Log
 }
 
 // Option sets one of the Options.
@@ -46,9 +47,17 @@
 // RetryBudget limits the retries of a pool over the whole fleet: ratio is the share of
 // requests that may be retried, slack the number of retries allowed on top of it.
 func RetryBudget(ratio, slack float64) Option {
-	return func(o *Options) {
-		o.RetryBudget = []retry.Option{retry.Ratio(ratio), retry.Slack(slack, func() int { return 1 })}
+	return func(o *Options) { o.RetryRatio, o.RetrySlack, o.retryBudgetSet = ratio, slack, true }
+}
+
+// retryBudget returns the options of the retry budget that the holder of a cell keeps. The
+// slack of a pool is divided among its cells.
+func (b *Balancer) retryBudget(cell string) []retry.Option {
+	if !b.options.retryBudgetSet {
+		return nil
 	}
+	cells := len(b.cells(poolOfCell(cell, b.options.State())))
+	return []retry.Option{retry.Ratio(b.options.RetryRatio), retry.Slack(b.options.RetrySlack, func() int { return max(1, cells) })}
 }
 
 // KeepConnections sets how long entries keep idle connections to backend servers.
--- a/pool/permit.go
+++ b/pool/permit.go
@@ -52,7 +52,7 @@
 
 // requestPermit asks the holder for a permit if none is at hand or requested, and
 // returns the finished and unused ones.
-func (b *Balancer) requestPermit(ps *poolState, want bool, now time.Time) {
+func (b *Balancer) requestPermit(ps *cellState, want bool, now time.Time) {
 	want = want && ps.permits.target == "" && !now.Before(ps.permits.nextRequest)
 	if want && now.Sub(ps.permits.requestedAt) < permitRequestTimeout {
 		want = false
@@ -113,11 +113,11 @@
 func (b *Balancer) receivePermitAnswer(m *wire.PermitAnswer, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.poolState(m.GetPool()).storePermit(m, now)
+	b.cellState(m.GetPool()).storePermit(m, now)
 }
 
 // storePermit stores a granted permit. Its lifetime starts with the request for it.
-func (ps *poolState) storePermit(answer *wire.PermitAnswer, now time.Time) {
+func (ps *cellState) storePermit(answer *wire.PermitAnswer, now time.Time) {
 	requestedAt := ps.permits.requestedAt
 	ps.permits.requestedAt = time.Time{}
 	if answer.GetTarget() == "" {
@@ -138,7 +138,7 @@
 
 // awaitPermit waits until a permit may be available. It reports false if the context
 // ends first.
-func (b *Balancer) awaitPermit(ctx context.Context, ps *poolState) bool {
+func (b *Balancer) awaitPermit(ctx context.Context, ps *cellState) bool {
 	b.mu.Lock()
 	if ps.permits.ready == nil {
 		ps.permits.ready = make(chan struct{})
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -4,40 +4,15 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/dottereldeal/dottereldeal/fleet"
 	"github.com/dottereldeal/dottereldeal/health"
 	"github.com/dottereldeal/dottereldeal/pick"
-	"github.com/dottereldeal/dottereldeal/state"
 )
 
-// eligibleCache holds the eligible servers of the pools for one directory and state.
-type eligibleCache struct {
-	directory  *fleet.Directory
-	stateIndex uint64
-	pools      sync.Map // pool name to []fleet.Target
-}
-
-// eligible returns the backend servers of a pool that may receive new requests. The slice
-// stays the same until the directory or the state changes, and must not be modified.
-func (b *Balancer) eligible(pool string) []fleet.Target {
-	directory, current := b.fleet.Directory(), b.options.State()
-	cache := b.eligibleServers.Load()
-	if cache == nil || cache.directory != directory || cache.stateIndex != current.Index() {
-		cache = &eligibleCache{directory: directory, stateIndex: current.Index()}
-		b.eligibleServers.Store(cache)
-	}
-	if list, ok := cache.pools.Load(pool); ok {
-		return list.([]fleet.Target)
-	}
-	list, _ := cache.pools.LoadOrStore(pool, pick.Eligible(directory.Pool(pool), current))
-	return list.([]fleet.Target)
-}
-
-// Pick returns the backend server that the pool's holder assigns. If the holder is not
-// asked or does not answer, Pick chooses locally: a warm server, or a cold one for which
+// Pick returns the backend server that the holder of a cell assigns. If no holder is asked
+// or it does not answer, Pick chooses locally: a warm server, or a cold one for which
 // a permit is available. If there are only cold servers, it waits for a permit.
 func (b *Balancer) Pick(ctx context.Context, pool string, r pick.Request) (pick.Choice, error) {
 	if choice, err, ok := b.requestSlot(ctx, pool, r); ok {
@@ -46,7 +21,7 @@
 	ctx, cancel := context.WithTimeout(ctx, maxPermitWait)
 	defer cancel()
 	for {
-		choice, wait, ok := b.pick(pool, r)
+		choice, wait, ok := b.pick(b.homeCell(pool), r)
 		if ok {
 			return choice, nil
 		}
@@ -60,18 +35,26 @@
 func (b *Balancer) HedgeDelay(pool string) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.poolState(pool).latency.hedgeDelay()
+	return b.cellState(b.homeCell(pool)).latency.hedgeDelay()
+}
+
+// homeCell returns the cell whose servers this VM chooses from by itself.
+func (b *Balancer) homeCell(pool string) string {
+	if cells := b.servers(pool).homeCells(b.options.VM); len(cells) > 0 {
+		return cells[0]
+	}
+	return pool
 }
 
 // pick makes one local choice. If none is possible but a permit may still arrive, it
-// returns the state of the pool to wait on.
-func (b *Balancer) pick(pool string, r pick.Request) (pick.Choice, *poolState, bool) {
-	targets := b.eligible(pool)
-	settings, _ := state.Get[state.Pool](b.options.State(), pool)
+// returns the state of the cell to wait on.
+func (b *Balancer) pick(cell string, r pick.Request) (pick.Choice, *cellState, bool) {
+	targets := b.cellServers(cell)
+	settings := b.settings(cell)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.options.Clock.Now()
-	ps := b.poolState(pool)
+	ps := b.cellState(cell)
 	warm, cold := ps.splitCold(targets, now)
 	b.requestPermit(ps, len(cold) > 0, now)
 	if name, ok := ps.permits.take(now); ok {
@@ -95,7 +78,7 @@
 }
 
 // splitCold separates the backend servers for which a request needs a permit.
-func (ps *poolState) splitCold(targets []fleet.Target, now time.Time) (warm, cold []fleet.Target) {
+func (ps *cellState) splitCold(targets []fleet.Target, now time.Time) (warm, cold []fleet.Target) {
 	for _, t := range targets {
 		s := ps.servers[t.Name]
 		sawCold := s != nil && now.Before(s.coldUntil)
@@ -110,13 +93,13 @@
 
 // announcedCold reports whether a backend server announces that it is cold and has not
 // finished its ramp.
-func (ps *poolState) announcedCold(t fleet.Target) bool {
+func (ps *cellState) announcedCold(t fleet.Target) bool {
 	boot, warmed := ps.status.warmed[t.Name]
 	return t.Phase == fleet.Cold && !(warmed && boot == t.Boot)
 }
 
 // withoutEjected removes the ejected backend servers, as far as the floor permits.
-func (ps *poolState) withoutEjected(targets []fleet.Target, total int, floor float64) []fleet.Target {
+func (ps *cellState) withoutEjected(targets []fleet.Target, total int, floor float64) []fleet.Target {
 	most := health.MaxEjected(total, floor)
 	ejected := ps.status.ejected[:min(most, len(ps.status.ejected))]
 	if len(ejected) == 0 {
@@ -147,7 +130,7 @@
 
 // withoutFailing removes the backend servers that fail the requests of this VM, unless
 // that would go below the floor.
-func (ps *poolState) withoutFailing(targets []fleet.Target, floor float64, now time.Time) []fleet.Target {
+func (ps *cellState) withoutFailing(targets []fleet.Target, floor float64, now time.Time) []fleet.Target {
 	var kept []fleet.Target
 	for _, t := range targets {
 		if s := ps.servers[t.Name]; s == nil || !now.Before(s.avoidUntil) {
@@ -162,7 +145,7 @@
 
 // lessLoaded picks two backend servers at random and returns the one with fewer
 // requests of this VM in flight per slot.
-func (ps *poolState) lessLoaded(targets []fleet.Target) fleet.Target {
+func (ps *cellState) lessLoaded(targets []fleet.Target) fleet.Target {
 	first := targets[rand.IntN(len(targets))]
 	second := targets[rand.IntN(len(targets))]
 	if ps.load(second) < ps.load(first) {
@@ -171,7 +154,7 @@
 	return first
 }
 
-func (ps *poolState) load(t fleet.Target) float64 {
+func (ps *cellState) load(t fleet.Target) float64 {
 	s := ps.servers[t.Name]
 	if s == nil {
 		return 0
@@ -180,7 +163,7 @@
 }
 
 // newChoice adds a request in flight and returns the choice of its backend server.
-func (b *Balancer) newChoice(ps *poolState, t fleet.Target, permitted bool, now time.Time) pick.Choice {
+func (b *Balancer) newChoice(ps *cellState, t fleet.Target, permitted bool, now time.Time) pick.Choice {
 	b.lastID++
 	id := b.lastID
 	ps.server(t.Name).inFlight[id] = now
@@ -188,7 +171,7 @@
 }
 
 // finish records the result of a request.
-func (b *Balancer) finish(ps *poolState, target string, id uint64, permitted bool, r health.Result) {
+func (b *Balancer) finish(ps *cellState, target string, id uint64, permitted bool, r health.Result) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.options.Clock.Now()
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -6,7 +6,6 @@
 
 	"github.com/dottereldeal/dottereldeal/health"
 	"github.com/dottereldeal/dottereldeal/pick"
-	"github.com/dottereldeal/dottereldeal/state"
 	"github.com/dottereldeal/dottereldeal/wire"
 )
 
@@ -44,49 +43,71 @@
 // Unwrap returns pick.ErrNoServer.
 func (e *OverloadError) Unwrap() error { return pick.ErrNoServer }
 
-// pendingRequest is a slot request of this VM that waits for the answer of the holder.
+// slotAnswer is an answer to a slot request, with the VM that sent it.
+type slotAnswer struct {
+	*wire.SlotAnswer
+	from string
+}
+
+// maxSlotAnswers is the number of answers to one slot request: it is queued in its own cell,
+// queued in another one, and decided.
+const maxSlotAnswers = 4
+
+// pendingRequest is a slot request of this VM that waits for the decision of a holder.
 type pendingRequest struct {
-	answers chan *wire.SlotAnswer
+	answers chan slotAnswer
+	// cell and holder are those that were asked, or sent the last answer.
+	cell, holder string
 }
 
-// requestSlot asks the holder of a pool for a backend server. It reports false if this
-// VM has to choose locally.
+// requestSlot asks the holder of a cell for a backend server. It reports false if this VM
+// has to choose locally.
 func (b *Balancer) requestSlot(ctx context.Context, pool string, r pick.Request) (pick.Choice, error, bool) {
-	if b.options.Placement != PlacementHolder || b.leases.RecentlyFailed(LeaseName(pool)) {
+	if b.options.Placement != PlacementHolder {
+		return pick.Choice{}, nil, false
+	}
+	cell, holder, known := b.cellToAsk(pool)
+	if !known {
 		return pick.Choice{}, nil, false
 	}
 	b.mu.Lock()
 	b.lastID++
-	m := b.slotRequest(ctx, pool, b.lastID, r)
-	waiting := &pendingRequest{answers: make(chan *wire.SlotAnswer, 2)}
+	m := b.slotRequest(ctx, cell, b.lastID, r)
+	waiting := &pendingRequest{answers: make(chan slotAnswer, maxSlotAnswers), cell: cell, holder: holder}
 	b.pending[m.GetId()] = waiting
-	holder, known := b.holderVM(pool)
-	var placements []placement
-	if known && holder == b.options.VM {
-		placements = b.placeRequest(b.options.VM, b.options.DataCentre, m)
-	}
 	b.mu.Unlock()
 	defer b.removePending(m.GetId())
-	if !known {
-		return pick.Choice{}, nil, false
-	}
-	b.sendPlacements(pool, placements)
-	if holder != b.options.VM {
+	if holder == b.options.VM {
+		b.receiveSlotAsk(holder, m)
+	} else {
 		b.link.Send(holder, &wire.Envelope{Body: &wire.Envelope_SlotAsk{SlotAsk: m}})
 	}
-	return b.awaitSlot(ctx, pool, holder, m, waiting)
+	return b.awaitSlot(ctx, m, waiting)
 }
 
-// holderVM returns the VM that holds the lease of a pool.
-func (b *Balancer) holderVM(pool string) (string, bool) {
-	if _, held := b.leases.Held(LeaseName(pool)); held {
+// cellToAsk returns the first cell of a pool whose holder is known and has not just failed.
+func (b *Balancer) cellToAsk(pool string) (cell, holder string, known bool) {
+	for _, cell := range b.servers(pool).homeCells(b.options.VM) {
+		if b.leases.RecentlyFailed(LeaseName(cell)) {
+			continue
+		}
+		if holder, known := b.holderVM(cell); known {
+			return cell, holder, true
+		}
+	}
+	return "", "", false
+}
+
+// holderVM returns the VM that holds the lease of a cell.
+func (b *Balancer) holderVM(cell string) (string, bool) {
+	if _, held := b.leases.Held(LeaseName(cell)); held {
 		return b.options.VM, true
 	}
-	vm, known := b.leases.Holder(LeaseName(pool))
+	vm, known := b.leases.Holder(LeaseName(cell))
 	return vm, known && vm != b.options.VM
 }
 
-func (b *Balancer) slotRequest(ctx context.Context, pool string, id uint64, r pick.Request) *wire.SlotAsk {
+func (b *Balancer) slotRequest(ctx context.Context, cell string, id uint64, r pick.Request) *wire.SlotAsk {
 	remaining := defaultTimeout
 	if end, ok := ctx.Deadline(); ok {
 		remaining = time.Until(end)
@@ -99,77 +120,92 @@
 		objective = remaining
 	}
 	return &wire.SlotAsk{
-		Pool: pool, Id: id, Idempotent: r.Idempotent, Rank: uint32(max(0, r.Rank)), Workspace: r.Workspace,
+		Pool: cell, Id: id, Idempotent: r.Idempotent, Rank: uint32(max(0, r.Rank)), Workspace: r.Workspace,
 		ObjectiveMicros: uint64(max(0, objective).Microseconds()), DeadlineMicros: uint64(max(0, remaining).Microseconds()),
-		Avoid: r.Avoid, Arrived: r.Arrived, Bytes: uint64(max(0, r.Bytes)),
+		Avoid: r.Avoid, Arrived: r.Arrived, Bytes: uint64(max(0, r.Bytes)), DataCentre: b.options.DataCentre,
 	}
 }
 
-// awaitSlot waits for the answer of the holder. It reports false, so that this VM chooses
-// locally, if the holder does not answer in time or leaves the request in its queue for
-// more than half of the remaining time.
-func (b *Balancer) awaitSlot(ctx context.Context, pool, holder string, m *wire.SlotAsk, w *pendingRequest) (pick.Choice, error, bool) {
+// awaitSlot waits for the decision of the holder. It reports false, so that this VM chooses
+// locally, if the holder does not answer in time, or is lost while the request is in its
+// queue.
+func (b *Balancer) awaitSlot(ctx context.Context, m *wire.SlotAsk, w *pendingRequest) (pick.Choice, error, bool) {
 	timer := time.NewTimer(holderTimeout)
 	defer timer.Stop()
+	queued := false
 	for {
 		select {
 		case answer := <-w.answers:
-			if !answer.GetNotHolder() {
-				b.leases.ReportSuccess(LeaseName(pool))
+			w.cell, w.holder = answer.GetPool(), answer.from
+			if answer.GetNotHolder() {
+				b.leases.ReportFailure(LeaseName(w.cell))
+				return pick.Choice{}, nil, false
 			}
+			b.leases.ReportSuccess(LeaseName(w.cell))
 			switch {
-			case answer.GetNotHolder():
-				b.leases.ReportFailure(LeaseName(pool))
-				return pick.Choice{}, nil, false
 			case answer.GetQueued():
-				timer.Reset(time.Duration(m.GetDeadlineMicros()) * time.Microsecond / 2)
+				queued = true
+				timer.Reset(holderTimeout)
 				continue
 			case answer.GetTarget() == "":
 				return pick.Choice{}, &OverloadError{RetryAfter: time.Duration(answer.GetRetryMicros()) * time.Microsecond}, true
 			}
-			choice, ok := b.acceptSlot(pool, holder, m.GetId(), answer.GetTarget())
+			choice, ok := b.acceptSlot(w.cell, w.holder, m.GetId(), answer.GetTarget())
 			return choice, nil, ok
 		case <-timer.C:
-			b.leases.ReportFailure(LeaseName(pool))
-			b.releaseSlot(pool, holder, m.GetId(), health.Result{})
+			if queued && b.stillHolds(w.cell, w.holder) {
+				timer.Reset(holderTimeout)
+				continue
+			}
+			if !queued {
+				b.leases.ReportFailure(LeaseName(w.cell))
+			}
+			b.releaseSlot(w.cell, w.holder, m.GetId(), health.Result{})
 			return pick.Choice{}, nil, false
 		case <-ctx.Done():
-			b.releaseSlot(pool, holder, m.GetId(), health.Result{})
+			b.releaseSlot(w.cell, w.holder, m.GetId(), health.Result{})
 			return pick.Choice{}, pick.ErrNoServer, true
 		}
 	}
 }
 
+// stillHolds reports whether a VM is still known as the holder of a cell, and answers.
+func (b *Balancer) stillHolds(cell, vm string) bool {
+	holder, known := b.holderVM(cell)
+	return known && holder == vm && !b.leases.RecentlyFailed(LeaseName(cell))
+}
+
 // acceptSlot uses the backend server that the holder has assigned. If this VM does not
 // know the server yet, or knows that it must not be used, the slot is released.
-func (b *Balancer) acceptSlot(pool, holder string, id uint64, name string) (pick.Choice, bool) {
+func (b *Balancer) acceptSlot(cell, holder string, id uint64, name string) (pick.Choice, bool) {
+	current := b.options.State()
 	t, known := b.fleet.Directory().Target(name)
-	if !known || t.Pool != pool || !pick.IsEligible(t, b.options.State()) {
-		b.releaseSlot(pool, holder, id, health.Result{})
+	if !known || t.Pool != poolOfCell(cell, current) || !pick.IsEligible(t, current) {
+		b.releaseSlot(cell, holder, id, health.Result{})
 		return pick.Choice{}, false
 	}
 	return pick.Choice{Target: t, RetryCounted: true, Done: func(r health.Result) {
-		b.finishPlaced(pool, t.Name, r)
-		b.releaseSlot(pool, holder, id, r)
+		b.finishPlaced(cell, t.Name, r)
+		b.releaseSlot(cell, holder, id, r)
 	}}, true
 }
 
-// finishPlaced records the result of a request that the holder has placed, for choices of
+// finishPlaced records the result of a request that a holder has placed, for choices of
 // this VM alone. It is not part of the reports to the holder, which receives it by itself.
-func (b *Balancer) finishPlaced(pool, target string, r health.Result) {
+func (b *Balancer) finishPlaced(cell, target string, r health.Result) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	ps := b.poolState(pool)
-	ps.server(target).recordLocally(r, b.options.Clock.Now())
+	cs := b.cellState(cell)
+	cs.server(target).recordLocally(r, b.options.Clock.Now())
 	if r.Kind == health.OK {
-		ps.latency.add(r.Latency)
+		cs.latency.add(r.Latency)
 	}
 }
 
 // releaseSlot reports the result of a request to the holder, which frees its slot. An
 // empty result means that the request was not sent.
-func (b *Balancer) releaseSlot(pool, holder string, id uint64, r health.Result) {
-	m := &wire.SlotDone{Pool: pool, Id: id, Result: string(r.Kind), LatencyMicros: uint64(r.Latency.Microseconds()), Cold: r.Cold}
+func (b *Balancer) releaseSlot(cell, holder string, id uint64, r health.Result) {
+	m := &wire.SlotDone{Pool: cell, Id: id, Result: string(r.Kind), LatencyMicros: uint64(r.Latency.Microseconds()), Cold: r.Cold}
 	if holder == b.options.VM {
 		b.receiveSlotDone(holder, m, b.options.Clock.Now())
 		return
@@ -183,66 +219,89 @@
 	delete(b.pending, id)
 }
 
-// placeRequest handles a slot request as the holder. It returns nil if this VM does not
-// hold the pool.
-func (b *Balancer) placeRequest(vm, dataCentre string, m *wire.SlotAsk) []placement {
-	now := b.options.Clock.Now()
-	h := b.localHolder(m.GetPool())
-	if h == nil {
-		return nil
+// cellView returns the scheduler's view of the backend servers of its cell. It costs no more
+// for a large cell than for a small one while neither the servers nor the state change.
+func (b *Balancer) cellView(cell string, h *holder) poolView {
+	targets := b.cellServers(cell)
+	if !sameSlice(targets, h.view.targets) || h.view.ramp == nil {
+		h.setTargets(targets, b.settings(cell), b.options.KeepConnections)
 	}
+	return h.view
+}
+
+// receiveSlotAsk handles a slot request of an entry, which the holder of another cell may
+// have forwarded.
+func (b *Balancer) receiveSlotAsk(from string, m *wire.SlotAsk) {
+	now := b.options.Clock.Now()
 	req := request{
-		vm: vm, id: m.GetId(), dataCentre: dataCentre, idempotent: m.GetIdempotent(), rank: int(m.GetRank()),
+		vm: from, id: m.GetId(), dataCentre: m.GetDataCentre(), idempotent: m.GetIdempotent(), rank: int(m.GetRank()),
 		workspace: m.GetWorkspace(), avoid: m.GetAvoid(), arrived: m.GetArrived(), bytes: int64(m.GetBytes()),
 		objective: now.Add(time.Duration(m.GetObjectiveMicros()) * time.Microsecond),
 		deadline:  now.Add(time.Duration(m.GetDeadlineMicros()) * time.Microsecond),
 	}
-	return []placement{h.scheduler.place(req, b.poolView(m.GetPool(), h), now)}
+	if vm := m.GetVm(); vm != "" {
+		req.vm, req.forwarded = vm, true
+	}
+	b.mu.Lock()
+	h := b.localHolder(m.GetPool())
+	if h == nil {
+		b.mu.Unlock()
+		b.sendAnswer(req.vm, &wire.SlotAnswer{Pool: m.GetPool(), Id: req.id, NotHolder: true})
+		return
+	}
+	placed := h.scheduler.place(req, b.cellView(m.GetPool(), h), now)
+	deliver := b.deliveries(m.GetPool(), h, []placement{placed}, now)
+	b.mu.Unlock()
+	deliver()
 }
 
-// poolView returns the scheduler's view of the backend servers of its pool. It costs no more
-// for a large pool than for a small one while neither the servers nor the state change.
-func (b *Balancer) poolView(pool string, h *holder) poolView {
-	targets := b.eligible(pool)
-	if !sameSlice(targets, h.view.targets) || h.view.ramp == nil {
-		settings, _ := state.Get[state.Pool](b.options.State(), pool)
-		h.setTargets(targets, settings, b.options.KeepConnections)
+// deliveries returns a function that sends the decisions of a scheduler: to the entries with
+// the requests, which may include this one, or to the holders of other cells. It must be
+// called without the lock.
+func (b *Balancer) deliveries(cell string, h *holder, placements []placement, now time.Time) func() {
+	if len(placements) == 0 {
+		return func() {}
+	}
+	vms := make([]string, len(placements)) // the holders to forward to
+	for i, placed := range placements {
+		if placed.cell != "" {
+			vms[i] = h.scheduler.overflow.cells[placed.cell].vm
+		}
+	}
+	return func() {
+		for i, placed := range placements {
+			if placed.cell != "" {
+				b.forward(placed, vms[i], now)
+				continue
+			}
+			b.sendAnswer(placed.request.vm, &wire.SlotAnswer{
+				Pool: cell, Id: placed.request.id, Target: placed.target, Queued: placed.queued, RetryMicros: uint64(placed.retryAfter.Microseconds()),
+			})
+		}
 	}
-	return h.view
 }
 
-// receiveSlotAsk handles the slot request of another entry.
-func (b *Balancer) receiveSlotAsk(from string, m *wire.SlotAsk) {
-	dataCentre := ""
-	for _, entry := range b.fleet.Members() {
-		if entry.VM == from {
-			dataCentre = entry.DataCentre
-		}
+// forward passes a request on to the holder of another cell.
+func (b *Balancer) forward(placed placement, holder string, now time.Time) {
+	req := placed.request
+	m := &wire.SlotAsk{
+		Pool: placed.cell, Id: req.id, Idempotent: req.idempotent, Rank: uint32(req.rank), Workspace: req.workspace,
+		ObjectiveMicros: uint64(max(0, req.objective.Sub(now)).Microseconds()), DeadlineMicros: uint64(max(0, req.deadline.Sub(now)).Microseconds()),
+		Avoid: req.avoid, Arrived: req.arrived, Bytes: uint64(req.bytes), DataCentre: req.dataCentre, Vm: req.vm,
 	}
-	b.mu.Lock()
-	placements := b.placeRequest(from, dataCentre, m)
-	b.mu.Unlock()
-	if placements == nil {
-		answer := &wire.SlotAnswer{Pool: m.GetPool(), Id: m.GetId(), NotHolder: true}
-		b.link.Send(from, &wire.Envelope{Body: &wire.Envelope_SlotAnswer{SlotAnswer: answer}})
+	if holder == b.options.VM {
+		b.receiveSlotAsk(holder, m)
 		return
 	}
-	b.sendPlacements(m.GetPool(), placements)
+	b.link.Send(holder, &wire.Envelope{Body: &wire.Envelope_SlotAsk{SlotAsk: m}})
 }
 
-// sendPlacements sends the decisions of the scheduler to the requesting entries, which
-// may include this one.
-func (b *Balancer) sendPlacements(pool string, placements []placement) {
-	for _, placed := range placements {
-		answer := &wire.SlotAnswer{
-			Pool: pool, Id: placed.request.id, Target: placed.target, Queued: placed.queued, RetryMicros: uint64(placed.retryAfter.Microseconds()),
-		}
-		if placed.request.vm == b.options.VM {
-			b.receiveSlotAnswer(b.options.VM, answer)
-			continue
-		}
-		b.link.Send(placed.request.vm, &wire.Envelope{Body: &wire.Envelope_SlotAnswer{SlotAnswer: answer}})
+func (b *Balancer) sendAnswer(vm string, answer *wire.SlotAnswer) {
+	if vm == b.options.VM {
+		b.receiveSlotAnswer(vm, answer)
+		return
 	}
+	b.link.Send(vm, &wire.Envelope{Body: &wire.Envelope_SlotAnswer{SlotAnswer: answer}})
 }
 
 // receiveSlotAnswer passes the holder's answer to the waiting request. A slot for a
@@ -253,12 +312,12 @@
 	b.mu.Unlock()
 	if ok {
 		select {
-		case w.answers <- m:
+		case w.answers <- slotAnswer{m, from}:
 			return
 		default:
 		}
 	}
-	if m.GetTarget() != "" {
+	if m.GetTarget() != "" || m.GetQueued() {
 		b.releaseSlot(m.GetPool(), from, m.GetId(), health.Result{})
 	}
 }
@@ -274,38 +333,80 @@
 		b.mu.Unlock()
 		return
 	}
+	view := b.cellView(m.GetPool(), h)
 	if target, assigned := h.scheduler.done(requestKey{from, m.GetId()}, result, now); assigned {
 		b.recordPlaced(h, from, m.GetPool(), target, result, now)
 	}
-	placements := h.scheduler.placeQueued(b.poolView(m.GetPool(), h), now)
+	deliver := b.deliveries(m.GetPool(), h, h.scheduler.placeQueued(view, now), now)
 	b.mu.Unlock()
-	b.sendPlacements(m.GetPool(), placements)
+	deliver()
 }
 
 // recordPlaced passes the result of a request that this holder has placed to the failure
 // detector, and starts the ramp of a server that turned out to be cold.
-func (b *Balancer) recordPlaced(h *holder, vm, pool, target string, r health.Result, now time.Time) {
+func (b *Balancer) recordPlaced(h *holder, vm, cell, target string, r health.Result, now time.Time) {
 	report := health.Report{Target: target, Cold: r.Cold}
 	report.Stats.Add(r)
 	h.report(vm, []health.Report{report}, now)
 	if !r.Cold {
 		return
 	}
-	if t, known := b.fleet.Directory().Target(target); known && t.Pool == pool {
-		settings, _ := state.Get[state.Pool](b.options.State(), pool)
-		h.markCold(t, settings)
+	if t, known := b.fleet.Directory().Target(target); known {
+		h.markCold(t, b.settings(cell))
 	}
 }
 
-// tickScheduler runs the periodic work of the scheduler of a pool held by this VM.
-func (b *Balancer) tickScheduler(pool string, now time.Time) {
+// tickScheduler runs the periodic work of the scheduler of a cell held by this VM, and tells
+// the holders of the pool's other cells its load.
+func (b *Balancer) tickScheduler(cell string, now time.Time) {
 	b.mu.Lock()
-	h := b.localHolder(pool)
+	h := b.localHolder(cell)
 	if h == nil {
 		b.mu.Unlock()
 		return
 	}
-	placements := h.scheduler.tick(b.poolView(pool, h), now)
+	view := b.cellView(cell, h)
+	deliver := b.deliveries(cell, h, h.scheduler.tick(view, now), now)
+	loadDue := now.Sub(h.loadSentAt) >= loadInterval
+	var load *wire.CellLoad
+	if loadDue {
+		h.loadSentAt = now
+		free, wait := h.scheduler.load(view, now)
+		load = &wire.CellLoad{Cell: cell, FreeSlots: uint32(free), WaitMicros: uint64(wait.Microseconds())}
+	}
 	b.mu.Unlock()
-	b.sendPlacements(pool, placements)
+	deliver()
+	if load != nil {
+		b.sendLoad(load, now)
+	}
+}
+
+// sendLoad tells the holders of the other cells of a pool the load of a cell.
+func (b *Balancer) sendLoad(load *wire.CellLoad, now time.Time) {
+	told := make(map[string]bool)
+	for _, other := range b.cells(poolOfCell(load.GetCell(), b.options.State())) {
+		vm, known := b.holderVM(other)
+		if other == load.GetCell() || !known || told[vm] {
+			continue
+		}
+		told[vm] = true
+		if vm == b.options.VM {
+			b.receiveLoad(vm, load, now)
+			continue
+		}
+		b.link.Send(vm, &wire.Envelope{Body: &wire.Envelope_CellLoad{CellLoad: load}})
+	}
+}
+
+// receiveLoad records the load of a cell for all other cells of its pool held by this VM.
+func (b *Balancer) receiveLoad(from string, m *wire.CellLoad, now time.Time) {
+	pool := poolOfCell(m.GetCell(), b.options.State())
+	load := cellLoad{vm: from, freeSlots: int(m.GetFreeSlots()), wait: time.Duration(m.GetWaitMicros()) * time.Microsecond, reportedAt: now}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for cell, h := range b.holders {
+		if cell != m.GetCell() && poolOfCell(cell, b.options.State()) == pool {
+			h.scheduler.overflow.report(m.GetCell(), load)
+		}
+	}
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -16,7 +16,6 @@
 package pool
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,8 +41,6 @@
 	urgentWait = 200 * time.Millisecond
 )
 
-func LeaseName(pool string) string { return "p/" + pool }
-
 // Balancer chooses backend servers for the requests of one entry. It also evaluates
 // the pools whose lease this VM holds.
 type Balancer struct {
@@ -52,18 +49,19 @@
 	fleet   *fleet.Fleet
 	leases  *lease.Manager
 
-	eligibleServers atomic.Pointer[eligibleCache]
+	serverLists atomic.Pointer[serverLists]
 
-	mu      sync.Mutex
-	pools   map[string]*poolState
-	holders map[string]*holder
-	lastID  uint64
+	mu sync.Mutex
+	// cellStates and holders are by the name of the cell.
+	cellStates map[string]*cellState
+	holders    map[string]*holder
+	lastID     uint64
 	// pending holds the slot requests that wait for the answer of a holder, by ID.
 	pending map[uint64]*pendingRequest
 }
 
-// poolState is what this VM knows about one pool.
-type poolState struct {
+// cellState is what this VM knows about one cell.
+type cellState struct {
 	name       string
 	status     status
 	servers    map[string]*serverStats
@@ -76,7 +74,7 @@
 func New(l link.Transport, f *fleet.Fleet, leases *lease.Manager, opts ...Option) *Balancer {
 	b := &Balancer{
 		options: newOptions(opts...), link: l, fleet: f, leases: leases,
-		pools: make(map[string]*poolState), holders: make(map[string]*holder), pending: make(map[uint64]*pendingRequest),
+		cellStates: make(map[string]*cellState), holders: make(map[string]*holder), pending: make(map[uint64]*pendingRequest),
 	}
 	f.Watch(fleet.KindEjection, b.updateStatus)
 	return b
@@ -85,16 +83,16 @@
 // String returns the name of the balancing policy.
 func (b *Balancer) String() string { return "fleet" }
 
-func (b *Balancer) poolState(name string) *poolState {
-	ps, ok := b.pools[name]
+func (b *Balancer) cellState(name string) *cellState {
+	ps, ok := b.cellStates[name]
 	if !ok {
-		ps = &poolState{name: name, servers: make(map[string]*serverStats)}
-		b.pools[name] = ps
+		ps = &cellState{name: name, servers: make(map[string]*serverStats)}
+		b.cellStates[name] = ps
 	}
 	return ps
 }
 
-func (ps *poolState) server(target string) *serverStats {
+func (ps *cellState) server(target string) *serverStats {
 	s, ok := ps.servers[target]
 	if !ok {
 		s = &serverStats{inFlight: make(map[uint64]time.Time)}
@@ -115,25 +113,25 @@
 	for _, w := range body.GetWarmed() {
 		next.warmed[w.GetName()] = w.GetBoot()
 	}
-	b.poolState(item.Key.Name).status = next
+	b.cellState(item.Key.Name).status = next
 }
 
 // Tick reports results to the holders and evaluates the pools held by this VM.
 func (b *Balancer) Tick(now time.Time) {
 	b.mu.Lock()
 	type pendingReport struct {
-		pool    string
+		cell    string
 		reports []health.Report
 	}
 	var pending []pendingReport
-	for name, ps := range b.pools {
+	for name, ps := range b.cellStates {
 		if reports := ps.report(now); len(reports) > 0 {
 			pending = append(pending, pendingReport{name, reports})
 		}
 	}
 	b.mu.Unlock()
 	for _, one := range pending {
-		b.sendReport(one.pool, one.reports, now)
+		b.sendReport(one.cell, one.reports, now)
 	}
 	b.tickHolders(now)
 }
@@ -141,7 +139,7 @@
 // report returns the results that are due to be sent to the holder. Failures, cold
 // servers and long waits are reported at once, everything else every
 // routineReportInterval.
-func (ps *poolState) report(now time.Time) []health.Report {
+func (ps *cellState) report(now time.Time) []health.Report {
 	urgent := false
 	var reports []health.Report
 	for name, s := range ps.servers {
@@ -164,75 +162,93 @@
 	return reports
 }
 
-func (b *Balancer) sendReport(pool string, reports []health.Report, now time.Time) {
-	name := LeaseName(pool)
+func (b *Balancer) sendReport(cell string, reports []health.Report, now time.Time) {
+	name := LeaseName(cell)
 	if _, held := b.leases.Held(name); held {
-		b.handleReport(b.options.VM, pool, reports, now)
+		b.handleReport(b.options.VM, cell, reports, now)
 		return
 	}
 	holder, ok := b.leases.Holder(name)
 	if !ok || holder == b.options.VM {
 		return
 	}
-	b.link.Send(holder, &wire.Envelope{Body: &wire.Envelope_Outcomes{Outcomes: reportsToWire(pool, reports)}})
+	b.link.Send(holder, &wire.Envelope{Body: &wire.Envelope_Outcomes{Outcomes: reportsToWire(cell, reports)}})
 }
 
-// handleReport passes a report to the local holder, if this VM holds the pool.
-func (b *Balancer) handleReport(vm, pool string, reports []health.Report, now time.Time) {
+// handleReport passes a report to the local holder, if this VM holds the cell.
+func (b *Balancer) handleReport(vm, cell string, reports []health.Report, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	h := b.localHolder(pool)
+	h := b.localHolder(cell)
 	if h == nil {
 		return
 	}
 	h.report(vm, reports, now)
-	settings, _ := state.Get[state.Pool](b.options.State(), pool)
-	for _, t := range b.eligible(pool) {
-		cold := func(r health.Report) bool { return r.Cold && r.Target == t.Name }
-		if slices.ContainsFunc(reports, cold) {
-			h.markCold(t, settings)
+	for _, r := range reports {
+		if t, known := b.fleet.Directory().Target(r.Target); r.Cold && known {
+			h.markCold(t, b.settings(cell))
 		}
 	}
 }
 
-// localHolder returns the holder of a pool, or nil if this VM does not hold it.
-func (b *Balancer) localHolder(pool string) *holder {
-	since, held := b.leases.Held(LeaseName(pool))
+// localHolder returns the holder of a cell, or nil if this VM does not hold it.
+func (b *Balancer) localHolder(cell string) *holder {
+	since, held := b.leases.Held(LeaseName(cell))
 	if !held {
-		delete(b.holders, pool)
+		delete(b.holders, cell)
 		return nil
 	}
-	h, ok := b.holders[pool]
+	h, ok := b.holders[cell]
 	if !ok || !h.since.Equal(since) {
-		h = newHolder(since, b.options.RetryBudget...)
-		b.holders[pool] = h
+		h = newHolder(since, b.retryBudget(cell)...)
+		for _, name := range b.cellState(cell).status.cold {
+			if t, known := b.fleet.Directory().Target(name); known {
+				h.markCold(t, b.settings(cell))
+			}
+		}
+		b.holders[cell] = h
 	}
 	return h
 }
 
-// tickHolders evaluates every pool that this VM holds.
+// tickHolders evaluates every cell that this VM holds, including those that have just lost
+// their last server.
 func (b *Balancer) tickHolders(now time.Time) {
+	held := make(map[string]bool)
 	for _, settings := range b.options.Settings() {
-		b.mu.Lock()
-		h := b.localHolder(settings.Name)
-		if h == nil {
-			b.mu.Unlock()
-			continue
+		for _, cell := range b.cells(settings.Name) {
+			held[cell] = true
 		}
-		next, decision := h.evaluate(b.eligible(settings.Name), settings, now)
-		changed := !next.equal(h.published)
-		h.published = next
+	}
+	b.mu.Lock()
+	for cell := range b.holders {
+		held[cell] = true
+	}
+	b.mu.Unlock()
+	for cell := range held {
+		b.tickHolder(cell, b.settings(cell), now)
+	}
+}
+
+func (b *Balancer) tickHolder(cell string, settings state.Pool, now time.Time) {
+	b.mu.Lock()
+	h := b.localHolder(cell)
+	if h == nil {
 		b.mu.Unlock()
-		b.recordEvents(settings.Name, decision)
-		if changed {
-			b.publish(settings.Name, next)
-		}
-		b.tickScheduler(settings.Name, now)
+		return
+	}
+	next, decision := h.evaluate(b.cellServers(cell), settings, now)
+	publish := h.publishDue(next, b.options.Placement, now)
+	b.mu.Unlock()
+	b.recordEvents(settings.Name, decision)
+	if publish {
+		b.publish(cell, next)
 	}
+	b.tickScheduler(cell, now)
 }
 
-// publish gossips the status of a pool to all entries.
-func (b *Balancer) publish(pool string, next status) {
+// publish gossips the status of a cell to all entries.
+func (b *Balancer) publish(cell string, next status) {
 	m := &wire.Ejections{Targets: next.ejected, Cold: next.cold}
 	for name, boot := range next.warmed {
 		m.Warmed = append(m.Warmed, &wire.Warmed{Name: name, Boot: boot})
@@ -241,7 +257,7 @@
 	if err != nil {
 		return
 	}
-	key := fleet.Key{Kind: fleet.KindEjection, Name: pool}
+	key := fleet.Key{Kind: fleet.KindEjection, Name: cell}
 	known, _ := b.fleet.Get(key)
 	b.fleet.Publish(fleet.Item{Key: key, Version: fleet.Version{Count: known.Version.Count + 1}, Body: body})
 }
@@ -271,6 +287,8 @@
 		b.receiveSlotAnswer(from, body.SlotAnswer)
 	case *wire.Envelope_SlotDone:
 		b.receiveSlotDone(from, body.SlotDone, now)
+	case *wire.Envelope_CellLoad:
+		b.receiveLoad(from, body.CellLoad, now)
 	default:
 		return false
 	}
@@ -281,6 +299,10 @@
 func (b *Balancer) Status(pool string) (ejected, cold []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	next := b.poolState(pool).status
-	return next.ejected, next.cold
+	for _, cell := range b.cells(pool) {
+		next := b.cellState(cell).status
+		ejected = append(ejected, next.ejected...)
+		cold = append(cold, next.cold...)
+	}
+	return ejected, cold
 }
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -115,7 +115,7 @@
 
 func TestEntryEnforcesTheFloorLocally(t *testing.T) {
 	is := is.New(t)
-	ps := &poolState{servers: make(map[string]*serverStats)}
+	ps := &cellState{servers: make(map[string]*serverStats)}
 	ps.status.ejected = []string{"b0", "b1", "b2"}
 	remaining := ps.withoutEjected(newTargets(4), 4, 0.5) // servers have left since the status was published
 	is.Equal(len(remaining), 2)
--- a/pool/ramp.go
+++ b/pool/ramp.go
@@ -28,6 +28,8 @@
 	// permits granted in the last second.
 	rate   float64
 	recent []time.Time
+	// from is the time from which permits of a limited rate are granted.
+	from time.Time
 }
 
 // NewRamp returns the ramp of a backend server that has just turned cold.
@@ -41,6 +43,12 @@
 	return r
 }
 
+// WithStart sets the time from which permits are granted if there is a rate limit.
+func (r *Ramp) WithStart(from time.Time) *Ramp {
+	r.from = from
+	return r
+}
+
 // rateWindow is the window over which the rate limit of a ramp is enforced.
 const rateWindow = time.Second
 
@@ -52,6 +60,9 @@
 	if r.rate <= 0 {
 		return true
 	}
+	if now.Before(r.from) {
+		return false
+	}
 	r.recent = slices.DeleteFunc(r.recent, func(at time.Time) bool { return now.Sub(at) >= rateWindow })
 	return float64(len(r.recent)) < r.rate
 }
--- a/pool/report_test.go
+++ b/pool/report_test.go
@@ -13,7 +13,7 @@
 // hundred entries, ten times a second for each that runs, kept it from placing others.
 func TestPlacedRequestsAreNotReported(t *testing.T) {
 	is := is.New(t)
-	ps := &poolState{servers: make(map[string]*serverStats)}
+	ps := &cellState{servers: make(map[string]*serverStats)}
 	ps.server("b1").recordLocally(health.Result{Kind: health.Failed, Cold: true}, startTime)
 	is.Equal(len(ps.report(startTime.Add(time.Second))), 0)
 	is.True(startTime.Before(ps.server("b1").coldUntil))
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -80,6 +80,9 @@
 	arrived bool
 	// bytes is the size of the request body.
 	bytes int64
+	// forwarded is set if the holder of another cell has passed the request on. It is not
+	// passed on again.
+	forwarded bool
 }
 
 // requestKey identifies a request in the fleet.
@@ -104,11 +107,12 @@
 }
 
 // placement is the scheduler's decision on a request: it is assigned to a target, queued,
-// or rejected with a retry delay.
+// left to another cell, or rejected with a retry delay.
 type placement struct {
 	request    request
 	target     string
 	queued     bool
+	cell       string
 	retryAfter time.Duration
 }
 
@@ -137,6 +141,7 @@
 	failureShare float64
 	paths        *paths
 	evidence     evidence
+	overflow     *overflow
 	// budget limits the retries of the whole fleet.
 	budget *retry.Budget
 	// free is reused by withFreeSlot.
@@ -147,7 +152,7 @@
 	return &scheduler{
 		model: health.NewModel(), byName: make(map[string]*server), entries: make(map[string]int),
 		assignments: make(map[requestKey]assignment), paths: newPaths(),
-		running: make(map[string]int), serviceTime: initialServiceTime, evidence: newEvidence(),
+		running: make(map[string]int), serviceTime: initialServiceTime, evidence: newEvidence(), overflow: newOverflow(),
 		budget: retry.NewBudget(budget...),
 	}
 }
@@ -181,6 +186,9 @@
 		return s.assign(req, srv, now)
 	}
 	wait, possible := s.queueWait(req, view, now)
+	if cell, ok := s.otherCell(req, possible, now); ok {
+		return placement{request: req, cell: cell}
+	}
 	if !possible {
 		return s.placeRegardless(req, wait, now)
 	}
@@ -188,6 +196,36 @@
 	return placement{request: req, queued: true}
 }
 
+// otherCell returns the cell that a request should be left to because it cannot be assigned
+// here: one with a free slot or, if the request cannot wait here, one where it can.
+func (s *scheduler) otherCell(req request, canWait bool, now time.Time) (string, bool) {
+	if req.forwarded {
+		return "", false
+	}
+	if cell, ok := s.overflow.withFreeSlot(now); ok || canWait {
+		return cell, ok
+	}
+	return s.overflow.withShortestWait(req.deadline.Sub(now)-s.serviceTime, now)
+}
+
+// load returns the free slots of the servers that are likely to work, and the time that a
+// request would wait for one.
+func (s *scheduler) load(view poolView, now time.Time) (freeSlots int, wait time.Duration) {
+	s.sync(view, now)
+	moment := s.model.At(now)
+	for _, srv := range s.servers {
+		if srv.ramp == nil && !srv.ejected && moment.Probability(srv.estimate) <= maxGrayNonIdempotent {
+			freeSlots += max(0, srv.slots-srv.inUse)
+		}
+	}
+	freeSlots = max(0, freeSlots-len(s.queue))
+	wait, possible := s.queueWait(request{deadline: now.Add(time.Hour)}, view, now)
+	if !possible {
+		wait = time.Hour
+	}
+	return freeSlots, wait
+}
+
 // assign takes a slot for a request.
 func (s *scheduler) assign(req request, srv *server, now time.Time) placement {
 	a := assignment{final: !req.idempotent || req.arrived, server: srv, workspace: req.workspace, since: now, until: req.deadline.Add(abandonedAfter)}
@@ -295,11 +333,33 @@
 			s.release(key, a)
 		}
 	}
-	return s.placeQueued(view, now)
+	return append(s.placeQueued(view, now), s.moveQueued(now)...)
+}
+
+// moveQueued leaves queued requests to cells that have free slots, the most urgent first.
+func (s *scheduler) moveQueued(now time.Time) []placement {
+	var placements []placement
+	for {
+		best := -1
+		for i, req := range s.queue {
+			if !req.forwarded && (best < 0 || s.precedes(req, s.queue[best], now)) {
+				best = i
+			}
+		}
+		if best < 0 {
+			return placements
+		}
+		cell, ok := s.overflow.withFreeSlot(now)
+		if !ok {
+			return placements
+		}
+		placements = append(placements, placement{request: s.queue[best], cell: cell})
+		s.queue = slices.Delete(s.queue, best, best+1)
+	}
 }
 
 // placeQueued assigns queued requests to free slots. Requests that can no longer be
-// answered in time are sent to any server or rejected.
+// answered in time are sent to any server or rejected, and all are if no server is left.
 func (s *scheduler) placeQueued(view poolView, now time.Time) []placement {
 	if len(s.queue) == 0 {
 		return nil
@@ -308,10 +368,15 @@
 	var placements []placement
 	s.queue = slices.DeleteFunc(s.queue, func(req request) bool {
 		late := now.Add(s.serviceTime).After(req.deadline)
-		if late {
+		if !late && len(s.servers) > 0 {
+			return false
+		}
+		if cell, ok := s.otherCell(req, true, now); ok {
+			placements = append(placements, placement{request: req, cell: cell})
+		} else {
 			placements = append(placements, s.placeRegardless(req, minRetryAfter, now))
 		}
-		return late
+		return true
 	})
 	view.belowFloor = s.belowFloor(view, now)
 	for len(s.queue) > 0 {
--- a/state/object.go
+++ b/state/object.go
@@ -32,6 +32,7 @@
 	KindVoters       Kind = "lease-voters"
 	KindActiveVoters Kind = "lease-electors"
 	KindTarget       Kind = "target"
+	KindDivision     Kind = "pool-division"
 )
 
 // VotersName is the name of the single object of KindVoters and of KindActiveVoters.
@@ -288,6 +289,18 @@
 // Ref returns the reference to the single list of active voters.
 func (ActiveVoters) Ref() Ref { return Ref{KindActiveVoters, VotersName} }
 
+// Division divides the servers of a pool into cells, each of which has a holder of its own.
+// The control leader maintains it, so that all entries divide a pool in the same way.
+type Division struct {
+	Pool string `json:"pool"`
+	// CellsPerDataCentre is the number of cells in each data centre, 0 for a single cell in
+	// all of them.
+	CellsPerDataCentre int `json:"cells-per-data-centre"`
+}
+
+// Ref returns the reference to the division.
+func (d Division) Ref() Ref { return Ref{KindDivision, d.Pool} }
+
 // Encode returns the canonical encoding of an object.
 func Encode(o Object) ([]byte, error) { return json.Marshal(o) }
 
@@ -308,6 +321,8 @@
 		return decode[ActiveVoters](data)
 	case KindTarget:
 		return decode[Target](data)
+	case KindDivision:
+		return decode[Division](data)
 	default:
 		return nil, errors.Wrap(ErrUnknownKind, string(kind))
 	}
