Tell a rejection from a failure, and probe silent servers with one request

Cause: a rejection counted as a sign of a gray failure. With all servers doubtful, those that nobody had heard of lately looked best.

A rejected request has not run. It costs an attempt of the retry budget, so the share of rejected requests is a cost of its own; a server that rejects nearly all gets only probes. A server that does not answer gets one request at a time. After a rejection callers are told to come back in 0.1 to 0.2 s instead of 1 s.

--- a/pool/cost.go
+++ b/pool/cost.go
@@ -47,16 +47,16 @@
 	if srv.ejected {
 		gray = max(gray, ejectedGray)
 	}
-	load := loadCost*float64(srv.inUse)/float64(max(1, srv.slots)) + s.networkCost(req, from, srv, view, now)
+	load := loadCost*float64(srv.inUse)/float64(max(1, srv.slots)) + shedCost*srv.shedShare(now) + s.networkCost(req, from, srv, view, now)
 	overdue := srv.overdue(now)
 	if !req.idempotent || len(req.avoid) > 0 {
 		// Retries use the safest server instead of an overdue one.
 		if overdue && (view.belowFloor || s.failureShare > overdueFailureShare) && len(req.avoid) == 0 {
 			load -= overdueBonus
 		}
-		return gray + load, gray <= maxGrayNonIdempotent || overdue && view.belowFloor
+		return gray + load, gray <= maxGrayNonIdempotent && !srv.rejecting(now) || overdue && view.belowFloor
 	}
-	if gray > maxGrayIdempotent && !overdue {
+	if (gray > maxGrayIdempotent || srv.rejecting(now)) && !overdue {
 		return 0, false
 	}
 	return load*stalenessScale.Seconds() - srv.estimate.Age(now).Seconds() - s.explorationBonus(srv.estimate), true
@@ -111,8 +111,8 @@
 		if !srv.hasFreeSlot(now) || slices.Contains(req.avoid, srv.name) {
 			continue
 		}
-		if gray := moment.Probability(srv.estimate); best == nil || gray < lowest {
-			best, lowest = srv, gray
+		if cost := moment.Probability(srv.estimate) + shedCost*srv.shedShare(now); best == nil || cost < lowest {
+			best, lowest = srv, cost
 		}
 	}
 	if best == nil || !now.Before(req.deadline) {
--- a/pool/evidence.go
+++ b/pool/evidence.go
@@ -89,6 +89,9 @@
 		if !running || !a.since.Equal(d.at) {
 			continue
 		}
+		if a.server.silent {
+			continue // that it does not fail the request is no sign that it answers
+		}
 		a.seen = s.evidence.earlyFailures
 		s.assignments[d.key] = a
 		a.server.estimate = a.server.estimate.WithoutFailure(s.model, a.seen, now)
@@ -105,6 +108,7 @@
 			a.server.overdueRequest = overdueRequest{d.key.vm, d.at}
 			continue
 		}
+		a.server.silent = true
 		a.server.estimate = a.server.estimate.WithResult(s.model, true, 0, now)
 	}
 }
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -35,6 +35,9 @@
 	remoteCost     = 0.004
 	remoteByteCost = 1.5e-6
 	maxRemoteCost  = 0.1
+	// shedCost is the cost of a server that has rejected all recent requests. A rejected request
+	// has not run and can be sent elsewhere, at the expense of the retry budget.
+	shedCost = 0.25
 	// impairedPathCost is the cost of a server that the entry probably cannot reach.
 	impairedPathCost = 0.5
 	// dialCost is the cost of a server to which the entry has no open connection.
@@ -301,10 +304,14 @@
 // observe updates the estimate of a server with a result. A success shows the state of the
 // server when it accepted the request, a failure its present state.
 func (s *scheduler) observe(a assignment, r health.Result, now time.Time) {
-	bad := r.Kind.Bad() || r.Kind == health.Late || r.Kind == health.Shed
-	switch {
-	case r.Kind == "" || r.Kind == health.Cancelled:
+	if r.Kind == "" || r.Kind == health.Cancelled {
 		return
+	}
+	bad := r.Kind.Bad() || r.Kind == health.Late
+	a.server.recordShed(r.Kind == health.Shed, now)
+	a.server.silent = r.Kind == health.TimedOut || r.Kind == health.Unreachable
+	switch {
+	case r.Kind == health.Shed:
 	case bad:
 		s.evidence.failed(r, s.serviceTime)
 		a.server.estimate = a.server.estimate.WithResult(s.model, true, 0, now)
--- a/pool/server.go
+++ b/pool/server.go
@@ -21,6 +21,11 @@
 	ejected bool
 	// lastAssigned is the time at which the server last received a request.
 	lastAssigned time.Time
+	// silent is set while the server has not answered its latest requests at all.
+	silent bool
+	// shed is the share of recent requests that the server rejected, as of shedAt.
+	shed   float64
+	shedAt time.Time
 	// overdueRequest is the last request without a result that was not held against the server,
 	// because one entry alone had such requests.
 	overdueRequest overdueRequest
@@ -28,15 +33,49 @@
 	contacts []time.Time
 }
 
-// hasFreeSlot reports whether the server can be sent a request.
+// hasFreeSlot reports whether the server can be sent a request. One that does not answer is
+// sent a single request at a time until it does.
 func (srv *server) hasFreeSlot(now time.Time) bool {
-	return srv.inUse < srv.slots && (srv.ramp == nil || srv.ramp.Available(now))
+	if srv.inUse >= srv.slots || srv.silent && srv.inUse > 0 {
+		return false
+	}
+	return srv.ramp == nil || srv.ramp.Available(now)
 }
 
 // overdue reports whether the server has received no request for maxIdle, whatever its
 // estimate. Ejections are decided by the failure detector, within the floor.
 func (srv *server) overdue(now time.Time) bool { return now.Sub(srv.lastAssigned) >= maxIdle }
 
+const (
+	// shedWeight is the weight of one result in the share of rejected requests, and shedMemory
+	// the time after which rejections no longer count.
+	shedWeight = 0.3
+	shedMemory = 3 * time.Second
+	// maxShedShare is the share above which a server receives only requests that probe it.
+	maxShedShare = 0.75
+)
+
+// shedShare returns the share of recent requests that the server rejected.
+func (srv *server) shedShare(now time.Time) float64 {
+	if srv.shed == 0 {
+		return 0
+	}
+	return srv.shed * max(0, 1-now.Sub(srv.shedAt).Seconds()/shedMemory.Seconds())
+}
+
+// rejecting reports whether the server has rejected nearly all recent requests.
+func (srv *server) rejecting(now time.Time) bool { return srv.shedShare(now) > maxShedShare }
+
+// recordShed records whether the server has rejected a request.
+func (srv *server) recordShed(rejected bool, now time.Time) {
+	value := 0.0
+	if rejected {
+		value = 1
+	}
+	share := srv.shedShare(now)
+	srv.shed, srv.shedAt = share+shedWeight*(value-share), now
+}
+
 // connected reports whether an entry is likely to have an open connection to the server.
 func (srv *server) connected(entry int, idleTimeout time.Duration, now time.Time) bool {
 	return entry < len(srv.contacts) && now.Sub(srv.contacts[entry]) < idleTimeout
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -30,6 +31,10 @@
 	cold bool
 }
 
+// rejectedRetryAfter is the shortest retry delay after all attempts of a request were rejected
+// or found no connection. The actual one is up to twice as long, so that callers spread.
+const rejectedRetryAfter = 100 * time.Millisecond
+
 // failure describes an attempt without a usable response.
 type failure struct {
 	kind    health.Kind
@@ -49,6 +54,10 @@
 		if errors.As(f.cause, &retryable) {
 			return problemNoTarget.withDetail(f.cause.Error()).withRetryAfter(retryable.After())
 		}
+		if f.kind != "" {
+			// Another server, or the same one, may well take the request a moment later.
+			return problemNoTarget.withDetail(f.cause.Error()).withRetryAfter(rejectedRetryAfter + rand.N(rejectedRetryAfter))
+		}
 		return problemNoTarget.withDetail(f.cause.Error())
 	case errors.Is(f.cause, ErrDeadline), errors.Is(f.cause, ErrStalled):
 		return problemDeadline.withOutcome(f.outcome)
