Reject queued requests when it is known that they get no slot

Load: half as many requests again as the pool can serve, for 8 s. Those that can still meet their objective go first, so the others wait in vain until a service time before their deadline: 732 of 4,768 were rejected after their objective. Cause: the wait was estimated from the queue alone, as if nobody overtook, and a request was only looked at again when its deadline was near.

The queue drains by what the slots serve less what arrives, over some seconds. A request that will be too late by that is rejected at once, with the time after which those ahead of it have got their slots, spread over twice that.

--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -62,8 +63,9 @@
 	initialServiceTime = 200 * time.Millisecond
 	// serviceTimeWeight is the weight of one answer in the average service time.
 	serviceTimeWeight = 0.05
-	// minRetryAfter is the shortest retry delay returned for a rejected request.
+	// minRetryAfter and maxRetryAfter bound the retry delay returned for a rejected request.
 	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = time.Second
 )
 
 // request is a request that needs a backend server.
@@ -145,6 +147,7 @@
 	paths        *paths
 	evidence     evidence
 	overflow     *overflow
+	backlog      backlog
 	// budget limits the retries of the whole fleet.
 	budget *retry.Budget
 	// free is reused by withFreeSlot.
@@ -181,6 +184,7 @@
 	s.sync(view, now)
 	s.observeRunning(now)
 	s.budget.Deposit()
+	s.backlog.arrived(now)
 	if req.arrived && !s.budget.Withdraw() {
 		return placement{request: req, retryAfter: minRetryAfter}
 	}
@@ -188,12 +192,12 @@
 	if srv := s.selectServer(req, s.servers, view, now); srv != nil {
 		return s.assign(req, srv, now)
 	}
-	wait, possible := s.queueWait(req, view, now)
+	_, possible := s.queueWait(req, now)
 	if cell, ok := s.otherCell(req, possible, now); ok {
 		return placement{request: req, cell: cell}
 	}
 	if !possible {
-		return s.placeRegardless(req, wait, now)
+		return s.placeRegardless(req, s.retryAfter(len(s.queue), s.servedPerSecond(now)), now)
 	}
 	s.queue = append(s.queue, req)
 	return placement{request: req, queued: true}
@@ -222,10 +226,7 @@
 		}
 	}
 	freeSlots = max(0, freeSlots-len(s.queue))
-	wait, possible := s.queueWait(request{deadline: now.Add(time.Hour)}, view, now)
-	if !possible {
-		wait = time.Hour
-	}
+	wait, _ = s.queueWait(request{objective: now.Add(hopelessWait), deadline: now.Add(2 * hopelessWait)}, now)
 	return freeSlots, wait
 }
 
@@ -245,8 +246,30 @@
 }
 
 // queueWait estimates how long a request would wait in the queue, and reports whether it
-// could still be answered in time.
-func (s *scheduler) queueWait(req request, view poolView, now time.Time) (time.Duration, bool) {
+// could still be answered before its deadline.
+func (s *scheduler) queueWait(req request, now time.Time) (time.Duration, bool) {
+	served := s.servedPerSecond(now)
+	ahead, late := 1, 0
+	for _, other := range s.queue {
+		switch {
+		case other.rank > req.rank:
+		case s.inTime(other, now):
+			ahead++
+		default:
+			late++
+		}
+	}
+	wait := s.backlog.wait(ahead, served, true)
+	if now.Add(wait + s.serviceTime).After(req.objective) {
+		// It will lose its place to requests that can still meet their objective.
+		wait = s.backlog.wait(ahead+late, served, false)
+	}
+	possible := len(s.servers) > 0 && len(s.queue) < maxQueue && now.Add(wait+s.serviceTime).Before(req.deadline)
+	return wait, possible
+}
+
+// servedPerSecond returns the rate at which slots become free while all of them are in use.
+func (s *scheduler) servedPerSecond(now time.Time) float64 {
 	slots := 0
 	moment := s.model.At(now)
 	for _, srv := range s.servers {
@@ -254,19 +277,46 @@
 			slots += srv.slots
 		}
 	}
-	if slots == 0 {
-		slots = 1
-	}
-	ahead := 1
-	for _, other := range s.queue {
-		if other.rank <= req.rank {
-			ahead++
+	return float64(max(1, slots)) / max(s.serviceTime, time.Millisecond).Seconds()
+}
+
+// inTime reports whether a request that gets a slot now can meet its objective.
+func (s *scheduler) inTime(req request, now time.Time) bool {
+	return now.Add(s.serviceTime).Before(req.objective)
+}
+
+// rejectHopeless removes the queued requests that will not get a slot before it is too late.
+func (s *scheduler) rejectHopeless(now time.Time) []placement {
+	s.backlog.advance(now)
+	served := s.servedPerSecond(now)
+	inTime, late := 0, 0
+	for _, req := range s.queue {
+		if s.inTime(req, now) {
+			inTime++
 		}
 	}
-	wait := time.Duration(float64(s.serviceTime) * float64(ahead) / float64(slots))
-	end := now.Add(wait + s.serviceTime)
-	possible := len(view.targets) > 0 && len(s.queue) < maxQueue && end.Before(req.deadline)
-	return max(wait, minRetryAfter), possible
+	var placements []placement
+	s.queue = slices.DeleteFunc(s.queue, func(req request) bool {
+		if s.inTime(req, now) {
+			return false
+		}
+		late++
+		wait := s.backlog.wait(inTime+late, served, false)
+		if now.Add(wait + s.serviceTime).Before(req.deadline) {
+			return false
+		}
+		late--
+		placements = append(placements, placement{request: req, retryAfter: s.retryAfter(inTime, served)})
+		return true
+	})
+	return placements
+}
+
+// retryAfter returns the retry delay of a rejected request: the time after which those ahead
+// of it have got their slots, spread so that callers do not return together.
+func (s *scheduler) retryAfter(ahead int, served float64) time.Duration {
+	wait := max(s.backlog.wait(ahead+1, served, true), minRetryAfter)
+	return min(wait+rand.N(wait), maxRetryAfter)
 }
 
 // done frees the slot of a request and returns its server, or removes the request from the
@@ -340,7 +390,7 @@
 			s.release(key, a)
 		}
 	}
-	return append(s.placeQueued(view, now), s.moveQueued(now)...)
+	return slices.Concat(s.placeQueued(view, now), s.moveQueued(now), s.rejectHopeless(now))
 }
 
 // moveQueued leaves queued requests to cells that have free slots, the most urgent first.
@@ -381,7 +431,7 @@
 		if cell, ok := s.otherCell(req, true, now); ok {
 			placements = append(placements, placement{request: req, cell: cell})
 		} else {
-			placements = append(placements, s.placeRegardless(req, minRetryAfter, now))
+			placements = append(placements, s.placeRegardless(req, s.retryAfter(0, s.servedPerSecond(now)), now))
 		}
 		return true
 	})
@@ -435,9 +485,8 @@
 	if a.rank != b.rank {
 		return a.rank < b.rank
 	}
-	inTime := func(x request) bool { return now.Add(s.serviceTime).Before(x.objective) }
-	if inTime(a) != inTime(b) {
-		return inTime(a)
+	if s.inTime(a, now) != s.inTime(b, now) {
+		return s.inTime(a, now)
 	}
 	return s.running[a.workspace] < s.running[b.workspace]
 }
