Do not reuse an empty full state

Cause: a control VM that was asked for the full state before there was any kept the empty answer for the next 256 changes, so that entries served nothing (TestScripts/tls, cold and stop, TestWorkspaceRateHoldsDuringPartition, all found by go test ./... before this was on main). The new test fails without this.

--- a/state/delta.go
+++ b/state/delta.go
@@ -97,7 +97,10 @@
 
 // valid reports whether the delta serves a follower at index from.
 func (d cachedDelta) valid(current State, from, lag uint64) bool {
-	return d.parts != nil && d.from == from && d.to <= current.Index() && current.Index()-d.to <= lag
+	if d.parts == nil || d.from != from || d.to > current.Index() {
+		return false
+	}
+	return d.to == current.Index() || d.to > from && current.Index()-d.to <= lag
 }
 
 // Parts returns the parts to send to a follower at index from, compressed if it can unpack
--- a/state/pack_test.go
+++ b/state/pack_test.go
@@ -88,3 +88,15 @@
 	is.True(!changed)
 	is.Equal(next.Index(), uint64(0))
 }
+
+// An entry may ask before there is any state.
+func TestEmptyFullStateIsNotReused(t *testing.T) {
+	is := is.New(t)
+	var cache state.DeltaCache
+	_, _, err := cache.Parts(state.State{}, 0, 0, 0, true)
+	is.NoErr(err)
+	current := targetsState(t, 3)
+	parts, _, err := cache.Parts(current, 0, 0, 0, true)
+	is.NoErr(err)
+	is.Equal(apply(t, state.State{}, parts).Records(), current.Records())
+}
