--- a/ctrl/watch.go
+++ b/ctrl/watch.go
@@ -158,7 +158,7 @@
 // delta from here at the same time; the others get it from their peers.
 func (c *Control) sendDelta(vm string, w *watcher) {
 	current := c.Ledger().State()
-	parts, large, err := c.deltaCache.Parts(current, w.sentIndex, w.to, w.part, w.unpacks)
+	parts, large, err := c.deltaCache.Parts(current, w.sentIndex, w.to, w.part, w.unpacks, c.options.Clock.Now())
 	if err != nil {
 		c.options.EventLog.Record(event.DeltaFailed, vm, fmt.Sprintf("from index %d: %s", w.sentIndex, err))
 		return
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -320,7 +320,7 @@
 	if current.Index() <= request.GetIndex() {
 		return
 	}
-	parts, large, err := w.feed.Parts(current, request.GetIndex(), request.GetTo(), request.GetPart(), request.GetUnpacks())
+	parts, large, err := w.feed.Parts(current, request.GetIndex(), request.GetTo(), request.GetPart(), request.GetUnpacks(), w.entry.options.Clock.Now())
 	if err != nil || large && request.GetBrief() {
 		return
 	}
--- a/state/delta.go
+++ b/state/delta.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -59,9 +60,9 @@
 // partsPerRequest is the maximum number of parts that are sent for one request.
 const partsPerRequest = 4
 
-// maxFullLag is the number of changes by which a cached full state may lag behind. A
-// follower without a state receives the rest as the next delta.
-const maxFullLag = 256
+// maxFullAge is how long a full state is reused although there have been changes. A follower
+// receives the rest as the next delta, and must not act on an old state until then.
+const maxFullAge = 250 * time.Millisecond
 
 // DeltaCache builds deltas for followers and caches the last one, because many
 // followers are usually at the same index, and the last full state. It is safe for
@@ -77,14 +78,15 @@
 	from, to uint64
 	parts    []*wire.Delta
 	packed   []*wire.Delta
+	builtAt  time.Time
 }
 
-func newCachedDelta(current State, from uint64) (cachedDelta, error) {
+func newCachedDelta(current State, from uint64, now time.Time) (cachedDelta, error) {
 	parts, err := DeltaParts(current, from)
 	if err != nil {
 		return cachedDelta{}, err
 	}
-	d := cachedDelta{from: from, to: current.Index(), parts: parts}
+	d := cachedDelta{from: from, to: current.Index(), parts: parts, builtAt: now}
 	for _, part := range parts {
 		packed, err := pack(part)
 		if err != nil {
@@ -96,25 +98,26 @@
 }
 
 // valid reports whether the delta serves a follower at index from.
-func (d cachedDelta) valid(current State, from, lag uint64) bool {
+func (d cachedDelta) valid(current State, from uint64, now time.Time) bool {
 	if d.parts == nil || d.from != from || d.to > current.Index() {
 		return false
 	}
-	return d.to == current.Index() || d.to > from && current.Index()-d.to <= lag
+	isFull := from == 0 && d.to > 0
+	return d.to == current.Index() || isFull && now.Sub(d.builtAt) < maxFullAge
 }
 
 // Parts returns the parts to send to a follower at index from, compressed if it can unpack
 // them, and whether the delta has more parts than are sent for one request. A follower that
 // has already received parts of the delta to index to resumes it at the given part.
-func (c *DeltaCache) Parts(current State, from, to uint64, part uint32, unpacks bool) (parts []*wire.Delta, large bool, err error) {
+func (c *DeltaCache) Parts(current State, from, to uint64, part uint32, unpacks bool, now time.Time) (parts []*wire.Delta, large bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	cached, lag := &c.last, uint64(0)
+	cached := &c.last
 	if from == 0 {
-		cached, lag = &c.full, maxFullLag
+		cached = &c.full
 	}
-	if !cached.valid(current, from, lag) {
-		if *cached, err = newCachedDelta(current, from); err != nil {
+	if !cached.valid(current, from, now) {
+		if *cached, err = newCachedDelta(current, from, now); err != nil {
 			return nil, false, err
 		}
 	}
--- a/state/pack_test.go
+++ b/state/pack_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
@@ -45,15 +46,17 @@
 	return next
 }
 
+var cacheStart = time.Unix(3000, 0)
+
 // Hundreds of entries that start together fetch the state while hundreds of servers register.
 // It must not be encoded anew for each of them, and its size matters on slow links.
 func TestFullStateIsCompressedAndCachedWhileItChanges(t *testing.T) {
 	is := is.New(t)
 	var cache state.DeltaCache
 	before := targetsState(t, 700)
-	plain, _, err := cache.Parts(before, 0, 0, 0, false)
+	plain, _, err := cache.Parts(before, 0, 0, 0, false, cacheStart)
 	is.NoErr(err)
-	packed, _, err := cache.Parts(before, 0, 0, 0, true)
+	packed, _, err := cache.Parts(before, 0, 0, 0, true, cacheStart)
 	is.NoErr(err)
 	size := func(parts []*wire.Delta) (n int) {
 		for _, p := range parts {
@@ -67,10 +70,10 @@
 	is.Equal(apply(t, state.State{}, plain).Records(), before.Records())
 
 	after := withTarget(t, before, "another")
-	again, _, err := cache.Parts(after, 0, 0, 0, true)
+	again, _, err := cache.Parts(after, 0, 0, 0, true, cacheStart.Add(100*time.Millisecond))
 	is.NoErr(err)
 	is.True(&again[0] == &packed[0]) // the cached one
-	rest, _, err := cache.Parts(after, follower.Index(), 0, 0, true)
+	rest, _, err := cache.Parts(after, follower.Index(), 0, 0, true, cacheStart)
 	is.NoErr(err)
 	is.Equal(apply(t, follower, rest).Records(), after.Records())
 }
@@ -78,7 +81,7 @@
 func TestDamagedCompressedPartChangesNothing(t *testing.T) {
 	is := is.New(t)
 	var cache state.DeltaCache
-	parts, _, err := cache.Parts(targetsState(t, 100), 0, 0, 0, true)
+	parts, _, err := cache.Parts(targetsState(t, 100), 0, 0, 0, true, cacheStart)
 	is.NoErr(err)
 	damaged := proto.Clone(parts[0]).(*wire.Delta)
 	damaged.Packed = damaged.GetPacked()[:len(damaged.GetPacked())/2]
@@ -93,10 +96,24 @@
 func TestEmptyFullStateIsNotReused(t *testing.T) {
 	is := is.New(t)
 	var cache state.DeltaCache
-	_, _, err := cache.Parts(state.State{}, 0, 0, 0, true)
+	_, _, err := cache.Parts(state.State{}, 0, 0, 0, true, cacheStart)
 	is.NoErr(err)
 	current := targetsState(t, 3)
-	parts, _, err := cache.Parts(current, 0, 0, 0, true)
+	parts, _, err := cache.Parts(current, 0, 0, 0, true, cacheStart)
 	is.NoErr(err)
 	is.Equal(apply(t, state.State{}, parts).Records(), current.Records())
 }
+
+// Half of the entries are killed seconds after the fleet has started. They must not serve by
+// the full state of that start until the rest arrives: it has neither routes nor keys.
+func TestRestartedEntryReceivesThePresentState(t *testing.T) {
+	is := is.New(t)
+	var cache state.DeltaCache
+	old := targetsState(t, 3)
+	_, _, err := cache.Parts(old, 0, 0, 0, true, cacheStart)
+	is.NoErr(err)
+	current := withTarget(t, old, "later")
+	parts, _, err := cache.Parts(current, 0, 0, 0, true, cacheStart.Add(time.Second))
+	is.NoErr(err)
+	is.Equal(apply(t, state.State{}, parts).Index(), current.Index())
+}
