Bound the head of a response at 64 KB

The users' new fault: bytes that are no answer, without end, in a head or a body, until the caller closes. Cause: net/http reads 10 MB of a head by default, for each attempt, so 18 attempts at such servers fill an entry of 184 MB, and one of them lasted until its deadline (504 instead of a prompt 502).

--- a/proxy/transport.go
+++ b/proxy/transport.go
@@ -23,6 +23,9 @@
 	// health checks and for entries that have just started.
 	reservedConnShare = 0.2
 	ioBufferBytes     = 8 << 10
+	// maxResponseHeaderBytes bounds the head of a response, and the bytes read of one that
+	// never ends.
+	maxResponseHeaderBytes = 64 << 10
 )
 
 // errConnAborted is returned by writes to a connection that was aborted.
@@ -143,6 +146,8 @@
 		IdleConnTimeout:     idleConnTimeout,
 		ReadBufferSize:      ioBufferBytes,
 		WriteBufferSize:     ioBufferBytes,
+		// The default of net/http is 10 MB for each attempt.
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
 
