Tell callers without a token to come back sooner, and spread

Callers were all told to come back in 0.8 s, most of them later than they may wait, and together. A lease that is lost has begun to run out, so a quarter to three quarters of its duration is left on the mean.

--- a/limit/distributed.go
+++ b/limit/distributed.go
@@ -37,9 +37,10 @@
 	holderAnswerTimeout = 150 * time.Millisecond
 	// unresponsiveWaitTimeout bounds the wait for a holder that does not answer.
 	unresponsiveWaitTimeout = time.Second
-	// unavailableRetryAfter is sent to a caller whose request got no token in time.
-	// Another VM takes the shard over within the duration of a lease.
-	unavailableRetryAfter = lease.Duration
+	// unavailableRetryAfter is the shortest retry delay of a caller whose request got no token
+	// in time; the longest is three times that, so that callers spread. Another VM takes the
+	// shard over within the duration of a lease, which has begun to run.
+	unavailableRetryAfter = lease.Duration / 4
 	// unresponsivePeriod is how long requests do not wait for a holder that did not
 	// answer, if the entry may admit them by itself.
 	unresponsivePeriod = 500 * time.Millisecond
--- a/limit/wait.go
+++ b/limit/wait.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/dottereldeal/dottereldeal/state"
@@ -102,7 +103,7 @@
 		return Admission{OK: true}
 	}
 	p.deadline = time.Time{}
-	return Admission{Unavailable: true, RetryAfter: unavailableRetryAfter, Cause: d.timeoutCause(w.Name)}
+	return Admission{Unavailable: true, RetryAfter: unavailableRetryAfter + rand.N(2*unavailableRetryAfter), Cause: d.timeoutCause(w.Name)}
 }
 
 // timeoutCause returns why a request got no token, for the log.
