--- a/entry/entry.go
+++ b/entry/entry.go
@@ -93,8 +93,7 @@
 	)
 	e.leases = lease.New(e.link, e.fleet,
 		lease.VM(e.options.VM), lease.Boot(boot), lease.Voters(func() []string { return e.State().ActiveVoters() }),
-		lease.Group(limit.ShardGroup), lease.DataCentre(pool.LeaseDataCentre), lease.HolderChanged(e.connectToHolder),
-		lease.CheckFresh(e.checkFresh), lease.Clock(e.options.Clock), lease.EventLog(e.options.EventLog),
+		lease.Group(limit.ShardGroup), lease.DataCentre(pool.LeaseDataCentre), lease.CheckFresh(e.checkFresh), lease.Clock(e.options.Clock), lease.EventLog(e.options.EventLog),
 	)
 	e.limits = limit.NewDistributed(e.options.VM, e.options.Clock, e.link, e.leases, e.State).
 		WithTolerance(e.options.Tolerance, e.recentMemberCount).
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -327,15 +327,10 @@
 	if proto.Unmarshal(item.Body, &body) != nil {
 		return
 	}
-	owner := Owner{VM: body.GetVm(), Boot: body.GetBoot()}
 	m.mu.Lock()
-	changed := m.holders[item.Key.Name] != owner
-	m.holders[item.Key.Name] = owner
+	defer m.mu.Unlock()
+	m.holders[item.Key.Name] = Owner{VM: body.GetVm(), Boot: body.GetBoot()}
 	m.failures.clear(item.Key.Name)
-	m.mu.Unlock()
-	if changed && owner.VM != m.options.VM {
-		m.options.HolderChanged(item.Key.Name, owner.VM)
-	}
 }
 
 // ReportSuccess notes that the holder of a lease answered.
--- a/lease/options.go
+++ b/lease/options.go
@@ -17,8 +17,6 @@
 	// DataCentre returns the data centre in which a lease should be held, or an empty string.
 	// It is held elsewhere while no entry there can hold it.
 	DataCentre func(name string) string
-	// HolderChanged is called when another VM announces that it holds a lease.
-	HolderChanged func(name, vm string)
 	// CheckFresh returns why this VM's configuration may be out of date, or nil.
 	CheckFresh func() error
 	Clock      clock.Clock
@@ -45,10 +43,6 @@
 // DataCentre sets the function that returns the data centre in which a lease should be held.
 func DataCentre(f func(name string) string) Option { return func(o *Options) { o.DataCentre = f } }
 
-// HolderChanged sets a function that is called when another VM announces that it holds a
-// lease. It must not block.
-func HolderChanged(f func(name, vm string)) Option { return func(o *Options) { o.HolderChanged = f } }
-
 // CheckFresh sets the check that the configuration is up to date.
 func CheckFresh(f func() error) Option { return func(o *Options) { o.CheckFresh = f } }
 
@@ -64,8 +58,6 @@
 		CheckFresh: func() error { return nil },
 		Group:      func(name string) string { return name },
 		DataCentre: func(string) string { return "" },
-
-		HolderChanged: func(string, string) {},
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/limit/distributed.go
+++ b/limit/distributed.go
@@ -54,24 +54,13 @@
 // ShardGroup returns the group that a shard is assigned with. Other leases are a group of
 // their own.
 func ShardGroup(name string) string {
-	n, ok := shardNumber(name)
-	if !ok {
+	var n int
+	if _, err := fmt.Sscanf(name, "w%d", &n); err != nil || ShardName(n) != name {
 		return name
 	}
 	return fmt.Sprintf("g%02d", n/shardsPerGroup)
 }
 
-// IsShard reports whether a lease is that of a shard.
-func IsShard(name string) bool {
-	_, ok := shardNumber(name)
-	return ok
-}
-
-func shardNumber(name string) (n int, ok bool) {
-	_, err := fmt.Sscanf(name, "w%d", &n)
-	return n, err == nil && ShardName(n) == name
-}
-
 // ShardOf returns the name of the lease of a workspace's shard.
 func ShardOf(workspace string) string {
 	return ShardName(int(xxhash.Sum64String(workspace) % ShardCount))
