--- a/fake/port.go
+++ b/fake/port.go
@@ -1,10 +1,11 @@
 package fake
 
 import (
-	"math/rand/v2"
 	"net"
 	"net/netip"
+	"os"
 	"strconv"
+	"sync/atomic"
 )
 
 const (
@@ -15,10 +16,20 @@
 	portCount = 12_000
 )
 
-// FreeAddr returns a loopback address without a listener at the time of the call.
+// nextPort is the offset of the next port to try. Test processes that run at the same time
+// start at different ones.
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(uint32(os.Getpid() * portsPerProcess)) }
+
+// portsPerProcess is the distance between the first ports of processes with successive IDs.
+const portsPerProcess = 200
+
+// FreeAddr returns a loopback address without a listener at the time of the call. A process
+// receives no address twice: tests that run in parallel start their processes some time later.
 func FreeAddr() netip.AddrPort {
 	for {
-		port := firstPort + rand.IntN(portCount)
+		port := firstPort + int(nextPort.Add(1)%portCount)
 		l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
 		if err != nil {
 			continue
