Pace large bodies on slow links

Load: 440 entries on 2 Mbit/s each, which serve uploads of 60 KB on the mean and hold the leases, tokens and slots of the fleet beside. The holders were neither short of processor time (0.03 of 0.16 cores at most) nor of bandwidth on the mean; an upload fills the link and its queue for a quarter of a second and more.

A response whose time runs out meanwhile is broken off.

--- a/prog/entry.go
+++ b/prog/entry.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/dottereldeal/dottereldeal/cert"
@@ -33,6 +34,7 @@
 	cutOff := conf.Var(set, "when-cut-off", "what to do while cut off from control and the other entries: stop or serve", parseCutOff, conf.Default("stop"))
 	place := conf.Var(set, "placement", "who chooses the backend servers: local (every entry) or holder (one for all)", parsePlacement, conf.Default("local"))
 	keep := conf.Var(set, "keep-connections", "how long an idle connection to a backend server may serve a request that must run once; 0s for fresh ones", time.ParseDuration, conf.Default("0s"))
+	linkRate := conf.Var(set, "link-mbps", "rate of this VM's link in Mbit/s, by which large bodies are paced; 0 if it is not scarce", parseLinkRate, conf.Default("0"))
 	return func(set *conf.Set, s streams) int {
 		if len(*control)+len(*found.seeds) == 0 {
 			set.AddFinding("--control", "is required where there are no --seeds")
@@ -66,7 +68,7 @@
 			entry.Identity(identity), entry.CallersIdentity(callersIdentity),
 			entry.KeyLocations(*keyHeader, *keyQuery, *keyCookie),
 			entry.Drain(*drainDelay, *drainLimit), entry.KeyGrace(*grace), entry.OnPartition(*cutOff), entry.Placement(*place),
-			entry.ProxyOptions(proxy.KeepConnections(*keep)), entry.PoolOptions(pool.KeepConnections(*keep)),
+			entry.ProxyOptions(proxy.KeepConnections(*keep), proxy.LinkRate(*linkRate)), entry.PoolOptions(pool.KeepConnections(*keep)),
 		}
 		if *found.bounds != "" {
 			delay, limit := planStop(bounds.Grace)
@@ -88,6 +90,21 @@
 	return grace * 5 / stopParts, grace * 5 / stopParts
 }
 
+// scarceLinkMbps is the rate below which a link is filled by a few large bodies.
+const scarceLinkMbps = 100
+
+// parseLinkRate returns the rate of a link in bytes per second, or 0 if it is not scarce.
+func parseLinkRate(text string) (float64, error) {
+	mbps, err := strconv.ParseFloat(text, 64)
+	if err != nil || mbps < 0 {
+		return 0, fmt.Errorf("%q is not a number of Mbit/s", text)
+	}
+	if mbps >= scarceLinkMbps {
+		return 0, nil
+	}
+	return mbps * 1e6 / 8, nil
+}
+
 func parsePlacement(text string) (pool.PlacementMode, error) {
 	by := pool.PlacementMode(text)
 	if by != pool.PlacementLocal && by != pool.PlacementHolder {
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -77,7 +77,7 @@
 		URL:           x.targetURL(a.choice.Target.Addr),
 		Host:          x.request.Host,
 		Header:        x.outgoingHeader(deadline.remaining(), a.choice.Target.Name),
-		Body:          x.body.newReader(x.route.Idempotent),
+		Body:          x.body.newReader(ctx, x.route.Idempotent, x.handler.sent),
 		ContentLength: x.body.length,
 	}).WithContext(httptrace.WithClientTrace(ctx, trace))
 	transport := transports.keepAlive
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -21,7 +22,7 @@
 }
 
 // newRequestBody returns the body of a request and buffers it if it is small.
-func newRequestBody(r *http.Request, deadline *requestDeadline) (*requestBody, error) {
+func newRequestBody(r *http.Request, deadline *requestDeadline, received *pacer) (*requestBody, error) {
 	b := &requestBody{length: r.ContentLength, deadline: deadline}
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		b.length = 0
@@ -31,7 +32,8 @@
 		b.stream = r.Body
 		return b, nil
 	}
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxBufferBytes))
+	paced := &pacedReader{ctx: r.Context(), reader: r.Body, pacer: received}
+	data, err := io.ReadAll(io.LimitReader(paced, maxBufferBytes))
 	if err != nil {
 		return nil, err
 	}
@@ -52,31 +54,33 @@
 // newReader returns a reader for one attempt. For non-idempotent requests the type of
 // the reader prevents net/http from retrying on its own, which it does for requests
 // without a body and for bodies that it can rewind.
-func (b *requestBody) newReader(idempotent bool) io.ReadCloser {
+func (b *requestBody) newReader(ctx context.Context, idempotent bool, sent *pacer) io.ReadCloser {
 	if b.length == 0 && idempotent {
 		return http.NoBody
 	}
 	if b.stream != nil {
-		return &streamedBody{body: b}
+		// The bytes are sent as they are received, at the same rate.
+		return &streamedBody{Reader: pacedReader{ctx: ctx, reader: b.stream, pacer: sent}, body: b}
 	}
-	return &bufferedBody{Reader: bytes.NewReader(b.buffer)}
+	return &bufferedBody{pacedReader{ctx: ctx, reader: bytes.NewReader(b.buffer), pacer: sent}}
 }
 
 // bufferedBody reads a body from memory.
 type bufferedBody struct {
-	*bytes.Reader
+	pacedReader
 }
 
 func (*bufferedBody) Close() error { return nil }
 
 // streamedBody reads the caller's body while it is forwarded.
 type streamedBody struct {
-	body *requestBody
+	Reader pacedReader
+	body   *requestBody
 }
 
 func (s *streamedBody) Read(p []byte) (int, error) {
 	s.body.consumed.Store(true)
-	n, err := s.body.stream.Read(p)
+	n, err := s.Reader.Read(p)
 	switch {
 	case err == io.EOF:
 		s.body.deadline.restart()
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -57,6 +57,9 @@
 	Logger *slog.Logger
 	// KeepConnections is how long an idle connection to a backend server may be reused by
 	// a non-idempotent request; 0 opens a new connection for each of these requests.
+	// LinkRate is the rate of this VM's link in bytes per second, by which large bodies are
+	// paced, or 0.
+	LinkRate        float64
 	KeepConnections time.Duration
 	// RetryBudget configures the budget of retries and hedged attempts.
 	RetryBudget []retry.Option
@@ -148,6 +151,10 @@
 // KeyGrace sets how long a request in flight continues after its key was withdrawn.
 func KeyGrace(d time.Duration) Option { return func(o *Options) { o.KeyGrace = d } }
 
+// LinkRate sets the bytes per second of this VM's link in each direction, 0 if it is not known
+// or not scarce.
+func LinkRate(bytesPerSecond float64) Option { return func(o *Options) { o.LinkRate = bytesPerSecond } }
+
 func newOptions(opts ...Option) Options {
 	o := Options{
 		ConfigFunc:   func() *Config { return NewConfig(state.State{}) },
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -63,6 +63,8 @@
 	inFlight    *tracker
 	retryBudget *retry.Budget
 	metrics     *metrics
+	// received and sent pace bodies in both directions of the link.
+	received, sent *pacer
 }
 
 func New(opts ...Option) *Handler {
@@ -74,6 +76,8 @@
 		inFlight:    newTracker(),
 		retryBudget: retry.NewBudget(o.RetryBudget...),
 		metrics:     newMetrics(o.Meter),
+		received:    newPacer(o.LinkRate),
+		sent:        newPacer(o.LinkRate),
 	}
 }
 
@@ -245,7 +249,7 @@
 	timeout, setByCaller := x.remaining()
 	deadline := newRequestDeadline(timeout, setByCaller, cancel)
 	defer deadline.stop()
-	body, err := newRequestBody(x.request, deadline)
+	body, err := newRequestBody(x.request, deadline, x.handler.received)
 	if err != nil {
 		x.refuse(problemBody.withDetail(err.Error()))
 		return
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -149,8 +149,8 @@
 	}
 	x.writer.WriteHeader(r.response.StatusCode)
 	if len(r.buffered) > 0 {
-		if _, err := x.writer.Write(r.buffered); err != nil {
-			return
+		if err := x.handler.sent.write(ctx, x.writer, r.buffered); err != nil {
+			panic(http.ErrAbortHandler) // the response must not look complete
 		}
 	}
 	if !r.complete {
@@ -174,8 +174,8 @@
 	for {
 		c := next(ctx)
 		if len(c.data) > 0 {
-			if _, err := x.writer.Write(c.data); err != nil {
-				return
+			if err := x.handler.sent.write(ctx, x.writer, c.data); err != nil {
+				panic(http.ErrAbortHandler)
 			}
 			controller.Flush()
 			deadline.noteProgress()
