--- a/link/options.go
+++ b/link/options.go
@@ -15,10 +15,10 @@
 	maxMessageBytes = 32 << 20
 	// minDialTimeout is the timeout of the first attempt to dial a peer. It covers round
 	// trips between regions. Each further attempt doubles it, up to maxDialTimeout.
-	minDialTimeout    = 250 * time.Millisecond
-	maxDialTimeout    = 2 * time.Second
-	handshakeTimeout  = 5 * time.Second
-	writeTimeout      = 2 * time.Second
+	minDialTimeout   = 250 * time.Millisecond
+	maxDialTimeout   = 2 * time.Second
+	handshakeTimeout = 5 * time.Second
+	writeTimeout     = 2 * time.Second
 	// keepAliveInterval is the interval of yamux's pings, which cost both sides a wake-up.
 	// They are the last resort: the kernel ends a connection whose data is not acknowledged
 	// within userTimeout, or whose probes, one each probeInterval, are not.
