--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -1,6 +1,7 @@
 package clock_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,15 +40,15 @@
 		is := is.New(t)
 		c := clock.New()
 		manual := clock.NewManual(time.Unix(0, 0))
-		runs := 0
-		c.After(time.Second, func(time.Time) { runs++ })
-		manual.After(time.Second, func(time.Time) { runs++ })
+		var runs atomic.Int64
+		c.After(time.Second, func(time.Time) { runs.Add(1) })
+		manual.After(time.Second, func(time.Time) { runs.Add(1) })
 		time.Sleep(time.Second - time.Millisecond)
 		manual.Advance(time.Second - time.Millisecond)
-		is.Equal(runs, 0)
+		is.Equal(runs.Load(), int64(0))
 		time.Sleep(time.Minute)
 		manual.Advance(time.Minute)
 		c.Stop()
-		is.Equal(runs, 2)
+		is.Equal(runs.Load(), int64(2))
 	})
 }
--- a/ledger/target_test.go
+++ b/ledger/target_test.go
@@ -77,3 +77,27 @@
 	is.NoErr(err)
 	is.Equal(restored.Plan(), l.Plan())
 }
+
+// After a restart from a snapshot, neither a server that had left nor a key that had been
+// withdrawn may be in use again.
+func TestRestoredLedgerKeepsWhatHasLeft(t *testing.T) {
+	is := is.New(t)
+	key := state.HashKey("withdrawn")
+	withKey := state.Workspace{Name: "east", Rate: 1, Burst: 1, KeyDigests: []state.KeyDigest{key}}
+	l := applyRegistrations(server("s1", 100, 4, state.TargetWarm), server("s1", 100, 5, state.TargetGone))
+	l, _ = l.Apply(10, Proposal{Ticket: ticket.NewPlan(1, []byte("1"), withKey)})
+	_, known := l.State().Workspace(key)
+	is.True(known)
+	l, _ = l.Apply(11, Proposal{Ticket: ticket.NewPlan(2, []byte("2"), withKey.WithKeyDigests())})
+	snapshot, err := l.Snapshot()
+	is.NoErr(err)
+	restored, err := FromSnapshot(snapshot, DefaultDedupWindow)
+	is.NoErr(err)
+	_, known = restored.State().Workspace(key)
+	is.True(!known)
+	is.Equal(phaseOf(restored, "s1"), state.TargetGone)
+	is.True(!restored.AcceptsRegistration(server("s1", 100, 4, state.TargetWarm))) // a delayed announcement
+	restored, _ = restored.Apply(12, Proposal{Ticket: ticket.NewPlan(1, []byte("1"), withKey)})
+	_, known = restored.State().Workspace(key)
+	is.True(!known) // a delayed plan
+}
