--- a/pool/evidence.go
+++ b/pool/evidence.go
@@ -29,8 +29,8 @@
 // that has accepted a request some milliseconds ago and has not failed it is a safer choice.
 // Servers that hang are noticed by their overdue requests, long before the deadline.
 type evidence struct {
-	// running holds the assignments in the order of their start. Those that have ended stay
-	// until they are due.
+	// early and overdue hold the assignments in the order of their start, until they have run
+	// for long enough to count in favour of or against their server. Some have ended by then.
 	early   []startedAssignment
 	overdue []startedAssignment
 	// earlyFailures is the part of the failures that show early.
--- a/pool/permit.go
+++ b/pool/permit.go
@@ -52,28 +52,28 @@
 
 // requestPermit asks the holder for a permit if none is at hand or requested, and
 // returns the finished and unused ones.
-func (b *Balancer) requestPermit(ps *cellState, want bool, now time.Time) {
-	want = want && ps.permits.target == "" && !now.Before(ps.permits.nextRequest)
-	if want && now.Sub(ps.permits.requestedAt) < permitRequestTimeout {
+func (b *Balancer) requestPermit(cs *cellState, want bool, now time.Time) {
+	want = want && cs.permits.target == "" && !now.Before(cs.permits.nextRequest)
+	if want && now.Sub(cs.permits.requestedAt) < permitRequestTimeout {
 		want = false
 	}
-	if !want && len(ps.permits.finished)+len(ps.permits.unused) == 0 {
+	if !want && len(cs.permits.finished)+len(cs.permits.unused) == 0 {
 		return
 	}
-	m := &wire.PermitAsk{Pool: ps.name, Want: want, Unused: ps.permits.unused}
-	for _, d := range ps.permits.finished {
+	m := &wire.PermitAsk{Pool: cs.name, Want: want, Unused: cs.permits.unused}
+	for _, d := range cs.permits.finished {
 		m.Done = append(m.Done, d.target)
 		m.Well = append(m.Well, d.success)
 	}
-	ps.permits.finished, ps.permits.unused = nil, nil
+	cs.permits.finished, cs.permits.unused = nil, nil
 	if want {
-		ps.permits.requestedAt = now
+		cs.permits.requestedAt = now
 	}
-	if h := b.localHolder(ps.name); h != nil {
-		ps.storePermit(b.answerPermit(h, m, now), now)
+	if h := b.localHolder(cs.name); h != nil {
+		cs.storePermit(b.answerPermit(h, m, now), now)
 		return
 	}
-	if holder, ok := b.leases.Holder(LeaseName(ps.name)); ok && holder != b.options.VM {
+	if holder, ok := b.leases.Holder(LeaseName(cs.name)); ok && holder != b.options.VM {
 		b.link.Send(holder, &wire.Envelope{Body: &wire.Envelope_PermitAsk{PermitAsk: m}})
 	}
 }
@@ -117,33 +117,33 @@
 }
 
 // storePermit stores a granted permit. Its lifetime starts with the request for it.
-func (ps *cellState) storePermit(answer *wire.PermitAnswer, now time.Time) {
-	requestedAt := ps.permits.requestedAt
-	ps.permits.requestedAt = time.Time{}
+func (cs *cellState) storePermit(answer *wire.PermitAnswer, now time.Time) {
+	requestedAt := cs.permits.requestedAt
+	cs.permits.requestedAt = time.Time{}
 	if answer.GetTarget() == "" {
-		ps.permits.nextRequest = now.Add(permitRetryInterval)
+		cs.permits.nextRequest = now.Add(permitRetryInterval)
 		return
 	}
-	if ps.permits.target != "" {
-		ps.permits.unused = append(ps.permits.unused, answer.GetTarget())
+	if cs.permits.target != "" {
+		cs.permits.unused = append(cs.permits.unused, answer.GetTarget())
 		return
 	}
-	ps.permits.target = answer.GetTarget()
-	ps.permits.expires = requestedAt.Add(time.Duration(answer.GetLifetimeMicros()) * time.Microsecond)
-	if ps.permits.ready != nil {
-		close(ps.permits.ready)
-		ps.permits.ready = nil
+	cs.permits.target = answer.GetTarget()
+	cs.permits.expires = requestedAt.Add(time.Duration(answer.GetLifetimeMicros()) * time.Microsecond)
+	if cs.permits.ready != nil {
+		close(cs.permits.ready)
+		cs.permits.ready = nil
 	}
 }
 
 // awaitPermit waits until a permit may be available. It reports false if the context
 // ends first.
-func (b *Balancer) awaitPermit(ctx context.Context, ps *cellState) bool {
+func (b *Balancer) awaitPermit(ctx context.Context, cs *cellState) bool {
 	b.mu.Lock()
-	if ps.permits.ready == nil {
-		ps.permits.ready = make(chan struct{})
+	if cs.permits.ready == nil {
+		cs.permits.ready = make(chan struct{})
 	}
-	ready := ps.permits.ready
+	ready := cs.permits.ready
 	b.mu.Unlock()
 	timer := time.NewTimer(permitRetryInterval)
 	defer timer.Stop()
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -54,35 +54,35 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.options.Clock.Now()
-	ps := b.cellState(cell)
-	warm, cold := ps.splitCold(targets, now)
-	b.requestPermit(ps, len(cold) > 0, now)
-	if name, ok := ps.permits.take(now); ok {
+	cs := b.cellState(cell)
+	warm, cold := cs.splitCold(targets, now)
+	b.requestPermit(cs, len(cold) > 0, now)
+	if name, ok := cs.permits.take(now); ok {
 		for _, t := range cold {
 			if t.Name == name && !slices.Contains(r.Avoid, name) {
-				return b.newChoice(ps, t, true, now), nil, true
+				return b.newChoice(cs, t, true, now), nil, true
 			}
 		}
-		ps.permits.unused = append(ps.permits.unused, name)
+		cs.permits.unused = append(cs.permits.unused, name)
 	}
-	warm = ps.withoutEjected(warm, len(targets), settings.Floor)
+	warm = cs.withoutEjected(warm, len(targets), settings.Floor)
 	warm = withoutTried(warm, r.Avoid)
-	warm = ps.withoutFailing(warm, settings.Floor, now)
+	warm = cs.withoutFailing(warm, settings.Floor, now)
 	if len(warm) == 0 {
 		if len(cold) > 0 && len(r.Avoid) == 0 {
-			return pick.Choice{}, ps, false
+			return pick.Choice{}, cs, false
 		}
 		return pick.Choice{}, nil, false
 	}
-	return b.newChoice(ps, ps.lessLoaded(warm), false, now), nil, true
+	return b.newChoice(cs, cs.lessLoaded(warm), false, now), nil, true
 }
 
 // splitCold separates the backend servers for which a request needs a permit.
-func (ps *cellState) splitCold(targets []fleet.Target, now time.Time) (warm, cold []fleet.Target) {
+func (cs *cellState) splitCold(targets []fleet.Target, now time.Time) (warm, cold []fleet.Target) {
 	for _, t := range targets {
-		s := ps.servers[t.Name]
+		s := cs.servers[t.Name]
 		sawCold := s != nil && now.Before(s.coldUntil)
-		if sawCold || slices.Contains(ps.status.cold, t.Name) || ps.announcedCold(t) {
+		if sawCold || slices.Contains(cs.status.cold, t.Name) || cs.announcedCold(t) {
 			cold = append(cold, t)
 			continue
 		}
@@ -93,15 +93,15 @@
 
 // announcedCold reports whether a backend server announces that it is cold and has not
 // finished its ramp.
-func (ps *cellState) announcedCold(t fleet.Target) bool {
-	boot, warmed := ps.status.warmed[t.Name]
+func (cs *cellState) announcedCold(t fleet.Target) bool {
+	boot, warmed := cs.status.warmed[t.Name]
 	return t.Phase == fleet.Cold && !(warmed && boot == t.Boot)
 }
 
 // withoutEjected removes the ejected backend servers, as far as the floor permits.
-func (ps *cellState) withoutEjected(targets []fleet.Target, total int, floor float64) []fleet.Target {
+func (cs *cellState) withoutEjected(targets []fleet.Target, total int, floor float64) []fleet.Target {
 	most := health.MaxEjected(total, floor)
-	ejected := ps.status.ejected[:min(most, len(ps.status.ejected))]
+	ejected := cs.status.ejected[:min(most, len(cs.status.ejected))]
 	if len(ejected) == 0 {
 		return targets
 	}
@@ -130,10 +130,10 @@
 
 // withoutFailing removes the backend servers that fail the requests of this VM, unless
 // that would go below the floor.
-func (ps *cellState) withoutFailing(targets []fleet.Target, floor float64, now time.Time) []fleet.Target {
+func (cs *cellState) withoutFailing(targets []fleet.Target, floor float64, now time.Time) []fleet.Target {
 	var kept []fleet.Target
 	for _, t := range targets {
-		if s := ps.servers[t.Name]; s == nil || !now.Before(s.avoidUntil) {
+		if s := cs.servers[t.Name]; s == nil || !now.Before(s.avoidUntil) {
 			kept = append(kept, t)
 		}
 	}
@@ -145,17 +145,17 @@
 
 // lessLoaded picks two backend servers at random and returns the one with fewer
 // requests of this VM in flight per slot.
-func (ps *cellState) lessLoaded(targets []fleet.Target) fleet.Target {
+func (cs *cellState) lessLoaded(targets []fleet.Target) fleet.Target {
 	first := targets[rand.IntN(len(targets))]
 	second := targets[rand.IntN(len(targets))]
-	if ps.load(second) < ps.load(first) {
+	if cs.load(second) < cs.load(first) {
 		return second
 	}
 	return first
 }
 
-func (ps *cellState) load(t fleet.Target) float64 {
-	s := ps.servers[t.Name]
+func (cs *cellState) load(t fleet.Target) float64 {
+	s := cs.servers[t.Name]
 	if s == nil {
 		return 0
 	}
@@ -163,31 +163,31 @@
 }
 
 // newChoice adds a request in flight and returns the choice of its backend server.
-func (b *Balancer) newChoice(ps *cellState, t fleet.Target, permitted bool, now time.Time) pick.Choice {
+func (b *Balancer) newChoice(cs *cellState, t fleet.Target, permitted bool, now time.Time) pick.Choice {
 	b.lastID++
 	id := b.lastID
-	ps.server(t.Name).inFlight[id] = now
-	return pick.Choice{Target: t, Done: func(r health.Result) { b.finish(ps, t.Name, id, permitted, r) }}
+	cs.server(t.Name).inFlight[id] = now
+	return pick.Choice{Target: t, Done: func(r health.Result) { b.finish(cs, t.Name, id, permitted, r) }}
 }
 
 // finish records the result of a request.
-func (b *Balancer) finish(ps *cellState, target string, id uint64, permitted bool, r health.Result) {
+func (b *Balancer) finish(cs *cellState, target string, id uint64, permitted bool, r health.Result) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.options.Clock.Now()
-	s := ps.server(target)
+	s := cs.server(target)
 	delete(s.inFlight, id)
 	s.recordResult(r, now)
 	if r.Kind == health.OK {
-		ps.latency.add(r.Latency)
+		cs.latency.add(r.Latency)
 	}
 	if !permitted {
 		return
 	}
 	if r.Kind == health.Cancelled {
-		ps.permits.unused = append(ps.permits.unused, target)
+		cs.permits.unused = append(cs.permits.unused, target)
 	} else {
-		ps.permits.finished = append(ps.permits.finished, finishedPermit{target, r.Kind == health.OK})
+		cs.permits.finished = append(cs.permits.finished, finishedPermit{target, r.Kind == health.OK})
 	}
-	b.requestPermit(ps, true, now)
+	b.requestPermit(cs, true, now)
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -84,19 +84,19 @@
 func (b *Balancer) String() string { return "fleet" }
 
 func (b *Balancer) cellState(name string) *cellState {
-	ps, ok := b.cellStates[name]
+	cs, ok := b.cellStates[name]
 	if !ok {
-		ps = &cellState{name: name, servers: make(map[string]*serverStats)}
-		b.cellStates[name] = ps
+		cs = &cellState{name: name, servers: make(map[string]*serverStats)}
+		b.cellStates[name] = cs
 	}
-	return ps
+	return cs
 }
 
-func (ps *cellState) server(target string) *serverStats {
-	s, ok := ps.servers[target]
+func (cs *cellState) server(target string) *serverStats {
+	s, ok := cs.servers[target]
 	if !ok {
 		s = &serverStats{inFlight: make(map[uint64]time.Time)}
-		ps.servers[target] = s
+		cs.servers[target] = s
 	}
 	return s
 }
@@ -124,8 +124,8 @@
 		reports []health.Report
 	}
 	var pending []pendingReport
-	for name, ps := range b.cellStates {
-		if reports := ps.report(now); len(reports) > 0 {
+	for name, cs := range b.cellStates {
+		if reports := cs.report(now); len(reports) > 0 {
 			pending = append(pending, pendingReport{name, reports})
 		}
 	}
@@ -139,10 +139,10 @@
 // report returns the results that are due to be sent to the holder. Failures, cold
 // servers and long waits are reported at once, everything else every
 // routineReportInterval.
-func (ps *cellState) report(now time.Time) []health.Report {
+func (cs *cellState) report(now time.Time) []health.Report {
 	urgent := false
 	var reports []health.Report
-	for name, s := range ps.servers {
+	for name, s := range cs.servers {
 		oldestWait := s.oldestWait(now)
 		if s.stats.Total()+s.stats.Late == 0 && !s.cold && oldestWait < urgentWait {
 			continue
@@ -152,11 +152,11 @@
 			Target: name, Stats: s.stats, Cold: s.cold, Oldest: oldestWait, InFlight: len(s.inFlight),
 		})
 	}
-	if !urgent && now.Sub(ps.lastReport) < routineReportInterval {
+	if !urgent && now.Sub(cs.lastReport) < routineReportInterval {
 		return nil
 	}
-	ps.lastReport = now
-	for _, s := range ps.servers {
+	cs.lastReport = now
+	for _, s := range cs.servers {
 		s.stats, s.cold = health.Stats{}, false
 	}
 	return reports
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -115,14 +115,14 @@
 
 func TestEntryEnforcesTheFloorLocally(t *testing.T) {
 	is := is.New(t)
-	ps := &cellState{servers: make(map[string]*serverStats)}
-	ps.status.ejected = []string{"b0", "b1", "b2"}
-	remaining := ps.withoutEjected(newTargets(4), 4, 0.5) // servers have left since the status was published
+	cs := &cellState{servers: make(map[string]*serverStats)}
+	cs.status.ejected = []string{"b0", "b1", "b2"}
+	remaining := cs.withoutEjected(newTargets(4), 4, 0.5) // servers have left since the status was published
 	is.Equal(len(remaining), 2)
 	for i := range 4 {
-		s := ps.server(fmt.Sprint("b", i))
+		s := cs.server(fmt.Sprint("b", i))
 		s.recordResult(health.Result{Kind: health.Unreachable}, startTime)
 		s.recordResult(health.Result{Kind: health.Unreachable}, startTime)
 	}
-	is.Equal(len(ps.withoutFailing(newTargets(4), 0.5, startTime)), 4) // all servers fail, so none is avoided
+	is.Equal(len(cs.withoutFailing(newTargets(4), 0.5, startTime)), 4) // all servers fail, so none is avoided
 }
--- a/pool/report_test.go
+++ b/pool/report_test.go
@@ -13,10 +13,10 @@
 // hundred entries, ten times a second for each that runs, kept it from placing others.
 func TestPlacedRequestsAreNotReported(t *testing.T) {
 	is := is.New(t)
-	ps := &cellState{servers: make(map[string]*serverStats)}
-	ps.server("b1").recordLocally(health.Result{Kind: health.Failed, Cold: true}, startTime)
-	is.Equal(len(ps.report(startTime.Add(time.Second))), 0)
-	is.True(startTime.Before(ps.server("b1").coldUntil))
-	ps.server("b1").recordResult(health.Result{Kind: health.Failed}, startTime)
-	is.Equal(len(ps.report(startTime.Add(2*time.Second))), 1) // chosen by this VM alone
+	cs := &cellState{servers: make(map[string]*serverStats)}
+	cs.server("b1").recordLocally(health.Result{Kind: health.Failed, Cold: true}, startTime)
+	is.Equal(len(cs.report(startTime.Add(time.Second))), 0)
+	is.True(startTime.Before(cs.server("b1").coldUntil))
+	cs.server("b1").recordResult(health.Result{Kind: health.Failed}, startTime)
+	is.Equal(len(cs.report(startTime.Add(2*time.Second))), 1) // chosen by this VM alone
 }
