--- a/pool/cell.go
+++ b/pool/cell.go
@@ -69,7 +69,6 @@
 
 // poolServers holds the eligible servers of one pool. The slices must not be modified.
 type poolServers struct {
-	all   []fleet.Target
 	cells map[string][]fleet.Target
 	// names are the sorted names of the cells with eligible servers, and near those of the
 	// data centre of this VM.
@@ -94,7 +93,7 @@
 }
 
 func newPoolServers(eligible []fleet.Target, d state.Division, dataCentre string) *poolServers {
-	p := &poolServers{all: eligible, cells: make(map[string][]fleet.Target)}
+	p := &poolServers{cells: make(map[string][]fleet.Target)}
 	for _, t := range eligible {
 		cell := cellOf(t, d)
 		if p.cells[cell] == nil {
