Order each gossip ring once and list live members once

Read once more: a choice of neighbours hashed and sorted all members for the first two rings twice, on the path that is busiest while a fleet starts; and a takeover request copied all lists of members to leave one out. Both results are the same.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -245,8 +245,7 @@
 // updateNeighbours recomputes the neighbours from the members.
 func (c *core) updateNeighbours(now time.Time) {
 	vms := c.vms()
-	next := neighboursOf(c.self.VM, vms, ringCount)
-	flooded := neighboursOf(c.self.VM, vms, floodRings)
+	next, flooded := neighboursOf(c.self.VM, vms)
 	for vm := range c.neighbours {
 		if !slices.Contains(next, vm) {
 			delete(c.neighbours, vm)
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -134,7 +134,8 @@
 
 func TestMemberSurvivesOneBlockedEdge(t *testing.T) {
 	cl := newCluster(12)
-	neighbour := neighboursOf("e05", cl.cores["e05"].vms(), floodRings)[0]
+	_, flooded := neighboursOf("e05", cl.cores["e05"].vms())
+	neighbour := flooded[0]
 	cl.blocked[[2]string{"e05", neighbour}] = true
 	cl.run(20 * time.Second)
 	cl.expectMembers(t, 12)
--- a/fleet/ring.go
+++ b/fleet/ring.go
@@ -18,21 +18,24 @@
 	floodRings = 2
 )
 
-// neighboursOf returns the predecessor and successor of vm on a number of rings. The
-// relation is symmetric, and the union of a few rings is a graph with a small
-// diameter.
-func neighboursOf(vm string, vms []string, rings int) []string {
-	var neighbours []string
-	for ring := range rings {
+// neighboursOf returns the predecessor and successor of vm on every ring, and those of them
+// on the first floodRings rings. Both relations are symmetric, and the union of a few rings is
+// a graph with a small diameter.
+func neighboursOf(vm string, vms []string) (neighbours, flooded []string) {
+	for ring := range ringCount {
 		order := ringOrder(ring, vms)
 		position := slices.Index(order, vm)
 		if position < 0 || len(order) < 2 {
-			return nil
+			return nil, nil
 		}
 		neighbours = append(neighbours, order[(position+1)%len(order)], order[(position+len(order)-1)%len(order)])
+		if ring == floodRings-1 {
+			flooded = slices.Clone(neighbours)
+		}
 	}
 	slices.Sort(neighbours)
-	return slices.Compact(neighbours)
+	slices.Sort(flooded)
+	return slices.Compact(neighbours), slices.Compact(flooded)
 }
 
 // ringPosition is the position of a member on a ring.
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -95,7 +95,7 @@
 	if len(voters) == 0 || outdated != nil {
 		return
 	}
-	members := m.liveMembers()
+	members := m.liveMembers("")
 	m.mu.Lock()
 	var names []string
 	if !m.stopping {
@@ -148,10 +148,11 @@
 	byDataCentre map[string][]string
 }
 
-func (m *Manager) liveMembers() liveMembers {
+// liveMembers returns the live entries except one, which may be empty.
+func (m *Manager) liveMembers(except string) liveMembers {
 	live := liveMembers{boots: make(map[string]uint64), byDataCentre: make(map[string][]string)}
 	for _, member := range m.fleet.Members() {
-		if member.Eligible() {
+		if member.Eligible() && member.VM != except {
 			live.vms = append(live.vms, member.VM)
 			live.boots[member.VM] = member.Boot
 			live.byDataCentre[member.DataCentre] = append(live.byDataCentre[member.DataCentre], member.VM)
@@ -160,16 +161,6 @@
 	return live
 }
 
-// without returns the members without one of them.
-func (l liveMembers) without(vm string) liveMembers {
-	isVM := func(other string) bool { return other == vm }
-	rest := liveMembers{vms: slices.DeleteFunc(slices.Clone(l.vms), isVM), boots: l.boots, byDataCentre: make(map[string][]string)}
-	for dataCentre, vms := range l.byDataCentre {
-		rest.byDataCentre[dataCentre] = slices.DeleteFunc(slices.Clone(vms), isVM)
-	}
-	return rest
-}
-
 // namesToRequest returns the leases to request: those that are held and due for renewal,
 // those that this VM is asked to take over, and those without a live holder that are
 // assigned to this VM.
@@ -359,7 +350,7 @@
 	if !takeover {
 		return
 	}
-	next := m.assigned(name, m.liveMembers().without(holder.VM))
+	next := m.assigned(name, m.liveMembers(holder.VM))
 	m.options.EventLog.Record(event.LeaseDoubted, name, "held by "+holder.VM+", takeover requested from "+next)
 	if next == m.options.VM {
 		m.mu.Lock()
