Look servers up in the sorted pools instead of a second index

Read once more: the directory kept a map of all servers by name beside its sorted pools, and rebuilt map and pools for every announcement, so a fleet whose servers announce themselves paid for the whole directory each time. Pools are sorted, so a search finds a server; only pools that change are copied. with and without are cases of replace.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -10,30 +10,7 @@
 
 // Directory is an immutable snapshot of the known backend servers, by pool.
 type Directory struct {
-	pools  map[string][]Target
-	byName map[string]Target
-}
-
-// newDirectory returns a directory of targets. A later target replaces an earlier one of
-// the same name.
-func newDirectory(lists ...[]Target) *Directory {
-	size := 0
-	for _, list := range lists {
-		size += len(list)
-	}
-	d := &Directory{pools: make(map[string][]Target), byName: make(map[string]Target, size)}
-	for _, list := range lists {
-		for _, t := range list {
-			d.byName[t.Name] = t
-		}
-	}
-	for _, t := range d.byName {
-		d.pools[t.Pool] = append(d.pools[t.Pool], t)
-	}
-	for _, pool := range d.pools {
-		slices.SortFunc(pool, func(a, b Target) int { return strings.Compare(a.Name, b.Name) })
-	}
-	return d
+	pools map[string][]Target // each sorted by name
 }
 
 // Pool returns the backend servers of a pool, sorted by name.
@@ -42,42 +19,60 @@
 // Pools returns the sorted names of all pools that have backend servers.
 func (d *Directory) Pools() []string { return slices.Sorted(maps.Keys(d.pools)) }
 
-// Target returns a backend server by name.
-func (d *Directory) Target(name string) (Target, bool) {
-	t, ok := d.byName[name]
-	return t, ok
+// Target returns a backend server of a pool by name.
+func (d *Directory) Target(pool, name string) (Target, bool) {
+	targets := d.pools[pool]
+	at, found := slices.BinarySearchFunc(targets, name, func(t Target, name string) int { return strings.Compare(t.Name, name) })
+	if !found {
+		return Target{}, false
+	}
+	return targets[at], true
 }
 
 // Len returns the number of backend servers.
-func (d *Directory) Len() int { return len(d.byName) }
-
-// all returns the backend servers except those of the given names, in no order.
-func (d *Directory) all(except map[string]bool) []Target {
-	list := make([]Target, 0, len(d.byName))
-	for name, t := range d.byName {
-		if !except[name] {
-			list = append(list, t)
-		}
+func (d *Directory) Len() int {
+	n := 0
+	for _, pool := range d.pools {
+		n += len(pool)
 	}
-	return list
+	return n
 }
 
 // with returns a copy of the directory with a target added or replaced.
-func (d *Directory) with(t Target) *Directory { return newDirectory(d.all(nil), []Target{t}) }
+func (d *Directory) with(t Target) *Directory { return d.replace([]Target{t}, []Target{t}) }
 
 // without returns a copy of the directory without a target.
-func (d *Directory) without(name string) *Directory {
-	return newDirectory(d.all(map[string]bool{name: true}))
-}
+func (d *Directory) without(name string) *Directory { return d.replace([]Target{{Name: name}}, nil) }
 
 // replace returns a copy of the directory in which one set of targets is replaced by
 // another. Its cost grows with the number of targets, not with its square.
-func (d *Directory) replace(old, next []Target) *Directory {
-	removed := make(map[string]bool, len(old))
-	for _, t := range old {
+func (d *Directory) replace(old, added []Target) *Directory {
+	removed := make(map[string]bool, len(old)+len(added))
+	for _, t := range slices.Concat(old, added) {
 		removed[t.Name] = true
 	}
-	return newDirectory(d.all(removed), next)
+	isRemoved := func(t Target) bool { return removed[t.Name] }
+	next := &Directory{pools: make(map[string][]Target, len(d.pools)+1)}
+	for pool, targets := range d.pools {
+		if slices.ContainsFunc(targets, isRemoved) {
+			targets = slices.DeleteFunc(slices.Clone(targets), isRemoved)
+		}
+		if len(targets) > 0 {
+			next.pools[pool] = targets
+		}
+	}
+	modified := make(map[string]bool)
+	for _, t := range added {
+		if !modified[t.Pool] {
+			modified[t.Pool] = true
+			next.pools[t.Pool] = slices.Clone(next.pools[t.Pool])
+		}
+		next.pools[t.Pool] = append(next.pools[t.Pool], t)
+	}
+	for pool := range modified {
+		slices.SortFunc(next.pools[pool], func(a, b Target) int { return strings.Compare(a.Name, b.Name) })
+	}
+	return next
 }
 
 // SetRegistered replaces the set of backend servers that are registered with the
@@ -99,19 +94,23 @@
 // recordDirectoryChanges records the differences between two directories in the
 // event log.
 func (f *Fleet) recordDirectoryChanges(before, after *Directory) {
-	for _, t := range after.byName {
-		f.recordPhase(before, t)
+	for _, pool := range after.pools {
+		for _, t := range pool {
+			f.recordPhase(before, t)
+		}
 	}
-	for name, t := range before.byName {
-		if _, present := after.byName[name]; !present {
-			f.options.EventLog.Record(event.TargetExpired, t.Name, "pool "+t.Pool)
+	for name, pool := range before.pools {
+		for _, t := range pool {
+			if _, present := after.Target(name, t.Name); !present {
+				f.options.EventLog.Record(event.TargetExpired, t.Name, "pool "+name)
+			}
 		}
 	}
 }
 
 // recordPhase records a new backend server or a change of its phase in the event log.
 func (f *Fleet) recordPhase(before *Directory, t Target) {
-	old := before.byName[t.Name]
+	old, _ := before.Target(t.Pool, t.Name)
 	if old.Phase == t.Phase {
 		return
 	}
--- a/fleet/directory_test.go
+++ b/fleet/directory_test.go
@@ -29,10 +29,10 @@
 	is := is.New(t)
 	f := newDirectoryFleet()
 	announced := Target{Name: "s0001", Pool: "desk", Phase: Cold, Slots: 1}
-	f.directory.Store(newDirectory([]Target{announced, {Name: "own", Pool: "desk", Phase: Warm}}))
+	f.directory.Store((&Directory{}).with(announced).with(Target{Name: "own", Pool: "desk", Phase: Warm}))
 	f.SetRegistered(registeredTargets(3))
 	is.Equal(f.Directory().Len(), 4)
-	found, ok := f.Directory().Target("s0001")
+	found, ok := f.Directory().Target("desk", "s0001")
 	is.True(ok)
 	is.Equal(found.Slots, 4)
 	f.SetRegistered(registeredTargets(1))
--- a/pool/cell.go
+++ b/pool/cell.go
@@ -135,6 +135,11 @@
 	return b.servers(poolOfCell(cell, b.options.State())).cells[cell]
 }
 
+// target returns a backend server of the pool of a cell by name.
+func (b *Balancer) target(cell, name string) (fleet.Target, bool) {
+	return b.fleet.Directory().Target(poolOfCell(cell, b.options.State()), name)
+}
+
 // settings returns the settings of the pool of a cell.
 func (b *Balancer) settings(cell string) state.Pool {
 	current := b.options.State()
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -121,11 +121,8 @@
 	report := health.Report{Target: target, Cold: r.Cold}
 	report.Stats.Add(r)
 	h.report(vm, []health.Report{report}, now)
-	if !r.Cold {
-		return
-	}
-	if t, known := b.fleet.Directory().Target(target); known {
-		h.markCold(t, b.settings(cell))
+	if r.Cold {
+		b.markCold(h, cell, target)
 	}
 }
 
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -178,9 +178,8 @@
 // acceptSlot uses the backend server that the holder has assigned. If this VM does not
 // know the server yet, or knows that it must not be used, the slot is released.
 func (b *Balancer) acceptSlot(cell, holder string, id uint64, name string) (pick.Choice, bool) {
-	current := b.options.State()
-	t, known := b.fleet.Directory().Target(name)
-	if !known || t.Pool != poolOfCell(cell, current) || !pick.IsEligible(t, current) {
+	t, known := b.target(cell, name)
+	if !known || !pick.IsEligible(t, b.options.State()) {
 		b.releaseSlot(cell, holder, id, health.Result{})
 		return pick.Choice{}, false
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -185,8 +185,8 @@
 	}
 	h.report(vm, reports, now)
 	for _, r := range reports {
-		if t, known := b.fleet.Directory().Target(r.Target); r.Cold && known {
-			h.markCold(t, b.settings(cell))
+		if r.Cold {
+			b.markCold(h, cell, r.Target)
 		}
 	}
 }
@@ -202,15 +202,20 @@
 	if !ok || !h.since.Equal(since) {
 		h = newHolder(since, b.retryBudget(cell)...)
 		for _, name := range b.cellState(cell).status.cold {
-			if t, known := b.fleet.Directory().Target(name); known {
-				h.markCold(t, b.settings(cell))
-			}
+			b.markCold(h, cell, name)
 		}
 		b.holders[cell] = h
 	}
 	return h
 }
 
+// markCold starts the ramp of a backend server that turned out to be cold.
+func (b *Balancer) markCold(h *holder, cell, name string) {
+	if t, known := b.target(cell, name); known {
+		h.markCold(t, b.settings(cell))
+	}
+}
+
 // tickHolders evaluates every cell that this VM holds, including those that have just lost
 // their last server.
 func (b *Balancer) tickHolders(now time.Time) {
