Let a placement name where it goes, and convert slot requests in one place

Read once more: the holder to forward to was looked up again, under the lock, in a closure that was sent later; the overflow knows it when it chooses the cell. Slot requests were built in two places and read in a third; both ways stand in wire.go now. The load of a cell is worked out only if there are other cells to tell it, and an empty queue is not looked through. Decisions are the same.

--- a/pool/cell_test.go
+++ b/pool/cell_test.go
@@ -89,10 +89,11 @@
 	handle = func(cell int, placements ...placement) {
 		for _, p := range placements {
 			switch {
-			case p.cell != "":
+			case p.forward.cell != "":
 				req := p.request
 				req.forwarded = true
-				handle(names[p.cell], schedulers[names[p.cell]].place(req, views[names[p.cell]], now))
+				at := names[p.forward.cell]
+				handle(at, schedulers[at].place(req, views[at], now))
 			case p.target != "":
 				result.served++
 				running = append(running, run{now.Add(l.service), cell, p.request.key()})
@@ -173,9 +174,9 @@
 	o.report("full", cellLoad{wait: time.Second, reportedAt: startTime})
 	sent := make(map[string]int)
 	for range 40 {
-		cell, ok := o.withFreeSlot(startTime)
+		to, ok := o.withFreeSlot(startTime)
 		is.True(ok)
-		sent[cell]++
+		sent[to.cell]++
 	}
 	is.Equal(sent, map[string]int{"a": 30, "b": 10})
 	_, ok := o.withFreeSlot(startTime)
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -24,15 +24,7 @@
 // have forwarded.
 func (b *Balancer) receiveSlotAsk(from string, m *wire.SlotAsk) {
 	now := b.options.Clock.Now()
-	req := request{
-		vm: from, id: m.GetId(), dataCentre: m.GetDataCentre(), idempotent: m.GetIdempotent(), rank: int(m.GetRank()),
-		workspace: m.GetWorkspace(), avoid: m.GetAvoid(), arrived: m.GetArrived(), bytes: int64(m.GetBytes()),
-		objective: now.Add(time.Duration(m.GetObjectiveMicros()) * time.Microsecond),
-		deadline:  now.Add(time.Duration(m.GetDeadlineMicros()) * time.Microsecond),
-	}
-	if vm := m.GetVm(); vm != "" {
-		req.vm, req.forwarded = vm, true
-	}
+	req := requestOfWire(from, m, now)
 	b.mu.Lock()
 	h := b.localHolder(m.GetPool())
 	if h == nil {
@@ -41,50 +33,33 @@
 		return
 	}
 	placed := h.scheduler.place(req, b.cellView(m.GetPool(), h), now)
-	deliver := b.deliveries(m.GetPool(), h, []placement{placed}, now)
 	b.mu.Unlock()
-	deliver()
+	b.sendPlacements(m.GetPool(), []placement{placed}, now)
 }
 
-// deliveries returns a function that sends the decisions of a scheduler: to the entries with
-// the requests, which may include this one, or to the holders of other cells. It must be
-// called without the lock.
-func (b *Balancer) deliveries(cell string, h *holder, placements []placement, now time.Time) func() {
-	if len(placements) == 0 {
-		return func() {}
-	}
-	vms := make([]string, len(placements)) // the holders to forward to
-	for i, placed := range placements {
-		if placed.cell != "" {
-			vms[i] = h.scheduler.overflow.cells[placed.cell].vm
-		}
-	}
-	return func() {
-		for i, placed := range placements {
-			if placed.cell != "" {
-				b.forward(placed, vms[i], now)
-				continue
-			}
-			b.sendAnswer(placed.request.vm, &wire.SlotAnswer{
-				Pool: cell, Id: placed.request.id, Target: placed.target, Queued: placed.queued, RetryMicros: uint64(placed.retryAfter.Microseconds()),
-			})
+// sendPlacements sends the decisions of a scheduler: to the entries with the requests, which
+// may include this one, or to the holders of other cells. It must be called without the lock.
+func (b *Balancer) sendPlacements(cell string, placements []placement, now time.Time) {
+	for _, placed := range placements {
+		if placed.forward != (destination{}) {
+			b.forward(placed, now)
+			continue
 		}
+		b.sendAnswer(placed.request.vm, &wire.SlotAnswer{
+			Pool: cell, Id: placed.request.id, Target: placed.target, Queued: placed.queued, RetryMicros: uint64(placed.retryAfter.Microseconds()),
+		})
 	}
 }
 
 // forward passes a request on to the holder of another cell.
-func (b *Balancer) forward(placed placement, holder string, now time.Time) {
-	req := placed.request
-	m := &wire.SlotAsk{
-		Pool: placed.cell, Id: req.id, Idempotent: req.idempotent, Rank: uint32(req.rank), Workspace: req.workspace,
-		ObjectiveMicros: uint64(max(0, req.objective.Sub(now)).Microseconds()), DeadlineMicros: uint64(max(0, req.deadline.Sub(now)).Microseconds()),
-		Avoid: req.avoid, Arrived: req.arrived, Bytes: uint64(req.bytes), DataCentre: req.dataCentre, Vm: req.vm,
-	}
-	if holder == b.options.VM {
-		b.receiveSlotAsk(holder, m)
+func (b *Balancer) forward(placed placement, now time.Time) {
+	m := placed.request.wire(placed.forward.cell, now)
+	m.Vm = placed.request.vm
+	if placed.forward.vm == b.options.VM {
+		b.receiveSlotAsk(b.options.VM, m)
 		return
 	}
-	b.link.Send(holder, &wire.Envelope{Body: &wire.Envelope_SlotAsk{SlotAsk: m}})
+	b.link.Send(placed.forward.vm, &wire.Envelope{Body: &wire.Envelope_SlotAsk{SlotAsk: m}})
 }
 
 func (b *Balancer) sendAnswer(vm string, answer *wire.SlotAnswer) {
@@ -110,9 +85,9 @@
 	if target, assigned := h.scheduler.done(requestKey{from, m.GetId()}, result, now); assigned {
 		b.recordPlaced(h, from, m.GetPool(), target, result, now)
 	}
-	deliver := b.deliveries(m.GetPool(), h, h.scheduler.placeQueued(view, now), now)
+	placements := h.scheduler.placeQueued(view, now)
 	b.mu.Unlock()
-	deliver()
+	b.sendPlacements(m.GetPool(), placements, now)
 }
 
 // recordPlaced passes the result of a request that this holder has placed to the failure
@@ -129,6 +104,7 @@
 // tickScheduler runs the periodic work of the scheduler of a cell held by this VM, and tells
 // the holders of the pool's other cells its load.
 func (b *Balancer) tickScheduler(cell string, now time.Time) {
+	divided := len(b.cells(poolOfCell(cell, b.options.State()))) > 1
 	b.mu.Lock()
 	h := b.localHolder(cell)
 	if h == nil {
@@ -136,16 +112,15 @@
 		return
 	}
 	view := b.cellView(cell, h)
-	deliver := b.deliveries(cell, h, h.scheduler.tick(view, now), now)
-	loadDue := now.Sub(h.loadSentAt) >= loadInterval
+	placements := h.scheduler.tick(view, now)
 	var load *wire.CellLoad
-	if loadDue {
+	if divided && now.Sub(h.loadSentAt) >= loadInterval {
 		h.loadSentAt = now
 		free, wait := h.scheduler.load(view, now)
 		load = &wire.CellLoad{Cell: cell, FreeSlots: uint32(free), WaitMicros: uint64(wait.Microseconds())}
 	}
 	b.mu.Unlock()
-	deliver()
+	b.sendPlacements(cell, placements, now)
 	if load != nil {
 		b.sendLoad(load, now)
 	}
--- a/pool/overflow.go
+++ b/pool/overflow.go
@@ -26,6 +26,11 @@
 	reportedAt time.Time
 }
 
+// destination is another cell that a request is left to, with its holder.
+type destination struct {
+	cell, vm string
+}
+
 // overflow finds the cell that can serve a request which its own cell cannot serve at once.
 //
 // The load it answers: callers are not spread over the data centres like the servers, a data
@@ -47,14 +52,14 @@
 
 // withFreeSlot returns a cell with a free slot, by chance in proportion to them, and counts
 // the request that is sent there.
-func (o *overflow) withFreeSlot(now time.Time) (cell string, ok bool) {
+func (o *overflow) withFreeSlot(now time.Time) (to destination, ok bool) {
 	total := 0
 	names := o.current(now)
 	for _, name := range names {
 		total += max(0, o.cells[name].freeSlots)
 	}
 	if total == 0 {
-		return "", false
+		return destination{}, false
 	}
 	at := o.random(total)
 	for _, name := range names {
@@ -62,21 +67,21 @@
 		if at -= max(0, load.freeSlots); at < 0 {
 			load.freeSlots--
 			o.cells[name] = load
-			return name, true
+			return destination{name, load.vm}, true
 		}
 	}
-	return "", false
+	return destination{}, false
 }
 
 // withShortestWait returns the cell in which a request waits for the shortest time, if that
 // is below the limit.
-func (o *overflow) withShortestWait(limit time.Duration, now time.Time) (cell string, ok bool) {
+func (o *overflow) withShortestWait(limit time.Duration, now time.Time) (to destination, ok bool) {
 	for _, name := range o.current(now) {
-		if wait := o.cells[name].wait; wait < limit {
-			cell, limit, ok = name, wait, true
+		if load := o.cells[name]; load.wait < limit {
+			to, limit, ok = destination{name, load.vm}, load.wait, true
 		}
 	}
-	return cell, ok
+	return to, ok
 }
 
 // current returns the sorted names of the cells whose load is known, and forgets the others.
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -119,11 +119,11 @@
 	if objective <= 0 {
 		objective = remaining
 	}
-	return &wire.SlotAsk{
-		Pool: cell, Id: id, Idempotent: r.Idempotent, Rank: uint32(max(0, r.Rank)), Workspace: r.Workspace,
-		ObjectiveMicros: uint64(max(0, objective).Microseconds()), DeadlineMicros: uint64(max(0, remaining).Microseconds()),
-		Avoid: r.Avoid, Arrived: r.Arrived, Bytes: uint64(max(0, r.Bytes)), DataCentre: b.options.DataCentre,
-	}
+	now := b.options.Clock.Now()
+	return request{
+		id: id, dataCentre: b.options.DataCentre, idempotent: r.Idempotent, rank: r.Rank, workspace: r.Workspace,
+		avoid: r.Avoid, arrived: r.Arrived, bytes: r.Bytes, objective: now.Add(objective), deadline: now.Add(remaining),
+	}.wire(cell, now)
 }
 
 // awaitSlot waits for the decision of the holder. It reports false, so that this VM chooses
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -117,7 +117,7 @@
 	request    request
 	target     string
 	queued     bool
-	cell       string
+	forward    destination
 	retryAfter time.Duration
 }
 
@@ -193,8 +193,8 @@
 		return s.assign(req, srv, now)
 	}
 	_, possible := s.queueWait(req, now)
-	if cell, ok := s.otherCell(req, possible, now); ok {
-		return placement{request: req, cell: cell}
+	if to, ok := s.otherCell(req, possible, now); ok {
+		return placement{request: req, forward: to}
 	}
 	if !possible {
 		return s.placeRegardless(req, s.retryAfter(len(s.queue), s.servedPerSecond(now)), now)
@@ -205,12 +205,12 @@
 
 // otherCell returns the cell that a request should be left to because it cannot be assigned
 // here: one with a free slot or, if the request cannot wait here, one where it can.
-func (s *scheduler) otherCell(req request, canWait bool, now time.Time) (string, bool) {
+func (s *scheduler) otherCell(req request, canWait bool, now time.Time) (destination, bool) {
 	if req.forwarded {
-		return "", false
+		return destination{}, false
 	}
-	if cell, ok := s.overflow.withFreeSlot(now); ok || canWait {
-		return cell, ok
+	if to, ok := s.overflow.withFreeSlot(now); ok || canWait {
+		return to, ok
 	}
 	return s.overflow.withShortestWait(req.deadline.Sub(now)-s.serviceTime, now)
 }
@@ -288,6 +288,9 @@
 // rejectHopeless removes the queued requests that will not get a slot before it is too late.
 func (s *scheduler) rejectHopeless(now time.Time) []placement {
 	s.backlog.advance(now)
+	if len(s.queue) == 0 {
+		return nil
+	}
 	served := s.servedPerSecond(now)
 	inTime, late := 0, 0
 	for _, req := range s.queue {
@@ -406,11 +409,11 @@
 		if best < 0 {
 			return placements
 		}
-		cell, ok := s.overflow.withFreeSlot(now)
+		to, ok := s.overflow.withFreeSlot(now)
 		if !ok {
 			return placements
 		}
-		placements = append(placements, placement{request: s.queue[best], cell: cell})
+		placements = append(placements, placement{request: s.queue[best], forward: to})
 		s.queue = slices.Delete(s.queue, best, best+1)
 	}
 }
@@ -428,8 +431,8 @@
 		if !late && len(s.servers) > 0 {
 			return false
 		}
-		if cell, ok := s.otherCell(req, true, now); ok {
-			placements = append(placements, placement{request: req, cell: cell})
+		if to, ok := s.otherCell(req, true, now); ok {
+			placements = append(placements, placement{request: req, forward: to})
 		} else {
 			placements = append(placements, s.placeRegardless(req, s.retryAfter(0, s.servedPerSecond(now)), now))
 		}
--- a/pool/wire.go
+++ b/pool/wire.go
@@ -36,3 +36,27 @@
 	}
 	return reports
 }
+
+// wire returns the request as it is sent to the holder of a cell.
+func (req request) wire(cell string, now time.Time) *wire.SlotAsk {
+	return &wire.SlotAsk{
+		Pool: cell, Id: req.id, Idempotent: req.idempotent, Rank: uint32(max(0, req.rank)), Workspace: req.workspace,
+		ObjectiveMicros: uint64(max(0, req.objective.Sub(now)).Microseconds()), DeadlineMicros: uint64(max(0, req.deadline.Sub(now)).Microseconds()),
+		Avoid: req.avoid, Arrived: req.arrived, Bytes: uint64(max(0, req.bytes)), DataCentre: req.dataCentre,
+	}
+}
+
+// requestOfWire returns a request that a VM has sent, for itself or, as the holder of another
+// cell, for an entry.
+func requestOfWire(from string, m *wire.SlotAsk, now time.Time) request {
+	req := request{
+		vm: from, id: m.GetId(), dataCentre: m.GetDataCentre(), idempotent: m.GetIdempotent(), rank: int(m.GetRank()),
+		workspace: m.GetWorkspace(), avoid: m.GetAvoid(), arrived: m.GetArrived(), bytes: int64(m.GetBytes()),
+		objective: now.Add(time.Duration(m.GetObjectiveMicros()) * time.Microsecond),
+		deadline:  now.Add(time.Duration(m.GetDeadlineMicros()) * time.Microsecond),
+	}
+	if vm := m.GetVm(); vm != "" {
+		req.vm, req.forwarded = vm, true
+	}
+	return req
+}
