Share the accept loop and the end of due requests among the tests

Read once more: three raw servers of the proxy tests and five simulated loads of the pool repeated the same loop.

--- a/pool/backlog_test.go
+++ b/pool/backlog_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -49,7 +48,7 @@
 			switch {
 			case p.target != "":
 				end := now.Add(service)
-				running = append(running, completion{at: end, key: p.request.key()})
+				running = append(running, completion{at: end, key: p.request.key(), kind: health.OK, latency: service})
 				if end.After(p.request.objective) {
 					result.late++
 				} else {
@@ -65,13 +64,7 @@
 	}
 	total := 2*time.Second + l.burst + 4*time.Second
 	for id := uint64(0); now.Sub(startTime) < total; now = now.Add(time.Millisecond) {
-		running = slices.DeleteFunc(running, func(c completion) bool {
-			if c.at.After(now) {
-				return false
-			}
-			s.done(c.key, health.Result{Kind: health.OK, Latency: service}, now)
-			return true
-		})
+		running = finishDue(s, running, now)
 		start(s.placeQueued(view, now)...)
 		elapsed := now.Sub(startTime)
 		if elapsed%Period == 0 {
--- a/pool/paths_test.go
+++ b/pool/paths_test.go
@@ -37,15 +37,7 @@
 		s := newScheduler()
 		var running []completion
 		for id, now := uint64(0), startTime; now.Sub(startTime) < cutStart+cutDuration; now = now.Add(step) {
-			var stillRunning []completion
-			for _, e := range running {
-				if e.at.After(now) {
-					stillRunning = append(stillRunning, e)
-					continue
-				}
-				s.done(e.key, health.Result{Kind: e.kind, Latency: e.latency}, now)
-			}
-			running = stillRunning
+			running = finishDue(s, running, now)
 			if random.Float64() >= 160*step.Seconds() {
 				continue
 			}
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -43,6 +44,17 @@
 	latency time.Duration
 }
 
+// finishDue passes the requests that have ended to the scheduler and returns the others.
+func finishDue(s *scheduler, running []completion, now time.Time) []completion {
+	return slices.DeleteFunc(running, func(c completion) bool {
+		if c.at.After(now) {
+			return false
+		}
+		s.done(c.key, health.Result{Kind: c.kind, Latency: c.latency}, now)
+		return true
+	})
+}
+
 // run simulates the load on a scheduler.
 func (l grayFailureLoad) run(seed uint64) loadResult {
 	random := rand.New(rand.NewPCG(seed, 7))
@@ -82,15 +94,7 @@
 	}
 	step := time.Millisecond
 	for id := uint64(0); now.Sub(startTime) < l.duration; now = now.Add(step) {
-		var stillRunning []completion
-		for _, e := range running {
-			if e.at.After(now) {
-				stillRunning = append(stillRunning, e)
-				continue
-			}
-			s.done(e.key, health.Result{Kind: e.kind, Latency: e.latency}, now)
-		}
-		running = stillRunning
+		running = finishDue(s, running, now)
 		for _, r := range s.placeQueued(view, now) {
 			start(r)
 		}
@@ -343,15 +347,7 @@
 	minShare = 1
 	nonIdempotent, failures := 0, 0
 	for id, now := uint64(0), startTime; now.Sub(startTime) < 30*time.Second; now = now.Add(step) {
-		var stillRunning []completion
-		for _, e := range running {
-			if e.at.After(now) {
-				stillRunning = append(stillRunning, e)
-				continue
-			}
-			s.done(e.key, health.Result{Kind: e.kind, Latency: e.latency}, now)
-		}
-		running = stillRunning
+		running = finishDue(s, running, now)
 		if now.Sub(startTime) > 3*window {
 			used := 0
 			for _, at := range lastRequest {
--- a/pool/shed_test.go
+++ b/pool/shed_test.go
@@ -58,15 +58,7 @@
 		}
 	}
 	for id := uint64(0); now.Sub(startTime) < 8*time.Second; now = now.Add(time.Millisecond) {
-		var rest []completion
-		for _, c := range running {
-			if c.at.After(now) {
-				rest = append(rest, c)
-				continue
-			}
-			s.done(c.key, health.Result{Kind: c.kind, Latency: c.latency}, now)
-		}
-		running = rest
+		running = finishDue(s, running, now)
 		for _, p := range s.placeQueued(view, now) {
 			start(p)
 		}
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -60,7 +60,7 @@
 	}
 	if b.stream != nil {
 		// The bytes are sent as they are received, at the same rate.
-		return &streamedBody{Reader: pacedReader{ctx: ctx, reader: b.stream, pacer: sent}, body: b}
+		return &streamedBody{reader: pacedReader{ctx: ctx, reader: b.stream, pacer: sent}, body: b}
 	}
 	return &bufferedBody{pacedReader{ctx: ctx, reader: bytes.NewReader(b.buffer), pacer: sent}}
 }
@@ -74,13 +74,13 @@
 
 // streamedBody reads the caller's body while it is forwarded.
 type streamedBody struct {
-	Reader pacedReader
+	reader pacedReader
 	body   *requestBody
 }
 
 func (s *streamedBody) Read(p []byte) (int, error) {
 	s.body.consumed.Store(true)
-	n, err := s.Reader.Read(p)
+	n, err := s.reader.Read(p)
 	switch {
 	case err == io.EOF:
 		s.body.deadline.restart()
--- a/proxy/endless_test.go
+++ b/proxy/endless_test.go
@@ -27,21 +27,9 @@
 
 func startEndlessServer(t *testing.T, start, repeat string) *endlessServer {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &endlessServer{listener: l}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn, start, bytes.Repeat([]byte(repeat), 1+(16<<10)/len(repeat)))
-		}
-	}()
+	s := &endlessServer{}
+	block := bytes.Repeat([]byte(repeat), 1+(16<<10)/len(repeat))
+	s.listener = acceptRaw(t, func(conn *net.TCPConn) { s.serve(conn, start, block) })
 	return s
 }
 
--- a/proxy/keepalive_test.go
+++ b/proxy/keepalive_test.go
@@ -40,21 +40,8 @@
 // it calls rest with the number of earlier connections.
 func startKeepAliveServer(t *testing.T, rest func(n int64, conn *net.TCPConn, reader *bufio.Reader)) *keepAliveServer {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &keepAliveServer{listener: l}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn.(*net.TCPConn), rest)
-		}
-	}()
+	s := &keepAliveServer{}
+	s.listener = acceptRaw(t, func(conn *net.TCPConn) { s.serve(conn, rest) })
 	return s
 }
 
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -112,12 +112,19 @@
 }
 
 func startResettingServer(t *testing.T, after int) *resettingServer {
+	t.Helper()
+	s := &resettingServer{after: after}
+	s.listener = acceptRaw(t, s.serve)
+	return s
+}
+
+// acceptRaw listens until the test ends and serves every connection by itself.
+func acceptRaw(t *testing.T, serve func(*net.TCPConn)) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &resettingServer{listener: l, after: after}
 	t.Cleanup(func() { l.Close() })
 	go func() {
 		for {
@@ -125,10 +132,10 @@
 			if err != nil {
 				return
 			}
-			go s.serve(conn.(*net.TCPConn))
+			go serve(conn.(*net.TCPConn))
 		}
 	}()
-	return s
+	return l
 }
 
 func (s *resettingServer) serve(conn *net.TCPConn) {
