Serve the first state of an entry only once it is known to be current

Cause: an entry took the first full state that any VM sent and served by it at once. With when-cut-off = serve nothing checked it afterwards.

The first state is served once a beacon of the leader or a majority of the voters shows that nothing newer is accepted; with when-cut-off = serve after 2 s without such a sign. Later too, an entry that lacks an accepted change, or hears neither leader nor voters, answers 503 instead of 401 or 404. A starting entry asks the control VMs in turn for what it lacks, not only the one in use.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,6 +38,8 @@
 var (
 	// ErrNoState means that no configuration has been received yet.
 	ErrNoState = errors.New("no configuration received yet")
+	// ErrUnconfirmed means that the first configuration may be out of date.
+	ErrUnconfirmed = errors.New("the first configuration is not known to be current yet")
 	// ErrStopping means that a planned stop is in progress.
 	ErrStopping = errors.New("this VM is stopping")
 )
@@ -67,8 +69,7 @@
 	claims    *claim.Manager
 	config    atomic.Pointer[proxy.Config]
 	proxy     *proxy.Handler
-	// configured is closed once the first configuration has been received.
-	configured   chan struct{}
+
 	entryCounter peakCounter
 	stopping     atomic.Bool
 	servers      []*http.Server
@@ -77,7 +78,7 @@
 
 // New returns an entry, which Run serves.
 func New(l Listeners, opts ...Option) *Entry {
-	e := &Entry{options: newOptions(opts...), listeners: l, configured: make(chan struct{})}
+	e := &Entry{options: newOptions(opts...), listeners: l}
 	e.entryCounter.started = e.options.Clock.Now()
 	e.config.Store(proxy.NewConfig(state.State{}))
 	e.link = link.New(l.Links,
@@ -109,7 +110,7 @@
 	e.freshness = newFreshnessTracker(e)
 	e.watcher = newConfigWatcher(e)
 	e.proxy = proxy.New(append([]proxy.Option{
-		proxy.ConfigFunc(e.config.Load), proxy.ServingCheck(e.checkServing), proxy.Configured(e.configured), proxy.Clock(e.options.Clock),
+		proxy.ConfigFunc(e.config.Load), proxy.ServingCheck(e.checkServing), proxy.Configured(e.freshness.confirmed), proxy.CurrentCheck(e.checkCurrent), proxy.Clock(e.options.Clock),
 		proxy.Limiter(e.limits),
 		proxy.Picker(e.picker()), proxy.Claim(e.claims.Claim),
 		proxy.EntryCount(func() int { return len(e.fleet.Members()) }),
@@ -169,12 +170,23 @@
 	return e.checkFresh()
 }
 
-// checkConfigured returns ErrNoState until the first configuration has been received.
+// checkConfigured returns an error until the first configuration has been received and is
+// known to be current, or cannot be confirmed.
 func (e *Entry) checkConfigured() error {
-	if e.State().Index() == 0 {
+	switch {
+	case e.State().Index() == 0:
 		return ErrNoState
+	case !e.freshness.isConfirmed():
+		return ErrUnconfirmed
+	default:
+		return nil
 	}
-	return nil
+}
+
+// checkCurrent returns an error while the configuration may lack an accepted change, so that
+// an unknown key or route proves nothing.
+func (e *Entry) checkCurrent() error {
+	return e.freshness.checkCurrent(e.State(), e.options.Clock.Now())
 }
 
 // checkFresh returns an error while the configuration of this VM may be out of date.
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -28,10 +28,22 @@
 	sequence          uint64
 	heartbeatsAllowed bool
 	lastErr           error
+
+	// confirmed is closed once this VM may serve by its state, which it received first at
+	// firstStateAt.
+	confirmed    chan struct{}
+	firstStateAt time.Time
 }
 
+// unconfirmedTimeout is how long an entry with the policy PartitionServe waits for evidence
+// that its first state is current. If there is no control leader, the lease voters send
+// heartbeats after half of fresh.HeartbeatTimeout.
+const unconfirmedTimeout = 2 * time.Second
+
 func newFreshnessTracker(e *Entry) *freshnessTracker {
-	t := &freshnessTracker{entry: e, fresh: fresh.New(), boot: uint64(e.options.Clock.Now().UnixNano())}
+	t := &freshnessTracker{
+		entry: e, fresh: fresh.New(), boot: uint64(e.options.Clock.Now().UnixNano()), confirmed: make(chan struct{}),
+	}
 	e.fleet.Watch(fleet.KindBeacon, t.recordLeaderBeacon)
 	e.fleet.Watch(fleet.KindVoter, t.recordVoterHeartbeat)
 	return t
@@ -58,9 +70,11 @@
 	if proto.Unmarshal(item.Body, &b) != nil {
 		return
 	}
+	now := t.entry.options.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.fresh.ObserveLeader(item.Version.Boot, item.Version.Count, b.GetIndex(), t.entry.options.Clock.Now())
+	t.fresh.ObserveLeader(item.Version.Boot, item.Version.Count, b.GetIndex(), now)
+	t.confirm(t.entry.State(), now)
 }
 
 func (t *freshnessTracker) recordVoterHeartbeat(item fleet.Item) {
@@ -68,13 +82,61 @@
 	if proto.Unmarshal(item.Body, &b) != nil {
 		return
 	}
+	now := t.entry.options.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if item.Key.Name == t.entry.options.VM && item.Version.Boot > t.boot {
 		// The wall clock of this VM has been set back since the last start.
 		t.boot = item.Version.Boot + 1
 	}
-	t.fresh.ObserveVoter(item.Key.Name, item.Version.Boot, item.Version.Count, b.GetIndex(), t.entry.options.Clock.Now())
+	t.fresh.ObserveVoter(item.Key.Name, item.Version.Boot, item.Version.Count, b.GetIndex(), now)
+	t.confirm(t.entry.State(), now)
+}
+
+// confirmState lets this VM serve by a state if it is known to be current.
+func (t *freshnessTracker) confirmState(s state.State, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.confirm(s, now)
+}
+
+// confirm must be called with the lock. The VM that sent the first state may have missed
+// changes itself, so that state is not served before a leader or a majority of the voters
+// shows that nothing newer is accepted.
+func (t *freshnessTracker) confirm(s state.State, now time.Time) {
+	if t.isConfirmed() || s.Index() == 0 {
+		return
+	}
+	if t.firstStateAt.IsZero() {
+		t.firstStateAt = now
+	}
+	err := t.fresh.CheckCurrent(s.Index(), s.ActiveVoters(), now)
+	reason := "nothing newer is accepted"
+	if err != nil {
+		if t.entry.options.OnPartition != PartitionServe || now.Sub(t.firstStateAt) < unconfirmedTimeout {
+			return
+		}
+		reason = "cut off: " + err.Error()
+	}
+	close(t.confirmed)
+	t.entry.options.EventLog.Record(event.StateConfirmed, s.String(), reason)
+}
+
+// isConfirmed reports whether this VM may serve by its state.
+func (t *freshnessTracker) isConfirmed() bool {
+	select {
+	case <-t.confirmed:
+		return true
+	default:
+		return false
+	}
+}
+
+// checkCurrent returns an error while a state may lack something that is accepted.
+func (t *freshnessTracker) checkCurrent(s state.State, now time.Time) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fresh.CheckCurrent(s.Index(), s.ActiveVoters(), now)
 }
 
 // checkServing returns an error while this VM must not serve with a state.
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -132,6 +132,7 @@
 // leader arrives, without which this VM takes no part in leases.
 func (w *configWatcher) tickInitial(now time.Time) {
 	index := w.entry.State().Index()
+	w.entry.freshness.confirmState(w.entry.State(), now)
 	if index > 0 && !w.entry.freshness.leaderNeverSeen() || w.receivingDelta(now) {
 		return
 	}
@@ -149,14 +150,18 @@
 	if index == 0 && w.awaitsInitialState(now) {
 		return "", false
 	}
-	controls := w.knownControls()
+	w.initialRequests++
+	controls, turn := w.knownControls(), w.initialRequests
 	if index > 0 && len(w.controls) > 0 {
-		controls = w.controls[w.current : w.current+1]
+		// Only the leader sends beacons, but the control VM in use may be cut off from it.
+		turn /= 2
+		if w.initialRequests%2 == 1 {
+			controls = w.controls[w.current : w.current+1]
+		}
 	}
-	w.initialRequests++
 	source := ""
 	if len(controls) > 0 {
-		source = controls[w.initialRequests%uint64(len(controls))]
+		source = controls[turn%uint64(len(controls))]
 	}
 	if ahead && (source == "" || w.initialRequests%2 == 0) {
 		source = neighbour
@@ -306,9 +311,7 @@
 	config := proxy.NewConfig(next)
 	w.entry.fleet.SetRegistered(registeredTargets(next))
 	w.entry.config.Store(config)
-	if previous.Index() == 0 && next.Index() > 0 {
-		close(w.entry.configured)
-	}
+	w.entry.freshness.confirmState(next, w.entry.options.Clock.Now())
 	w.entry.proxy.ApplyConfig(config)
 	w.entry.fleet.SetStateIndex(next.Index())
 	w.entry.options.EventLog.Record(event.StateApplied, next.String(), "")
--- a/event/event.go
+++ b/event/event.go
@@ -33,6 +33,7 @@
 	TicketRefused      Kind = "ticket-refused"
 	TicketInForce      Kind = "ticket-in-force"
 	StateApplied       Kind = "state-applied"
+	StateConfirmed     Kind = "state-confirmed"
 	DeltaFailed        Kind = "delta-failed"
 	KeyWithdrawn       Kind = "key-withdrawn"
 	LeaderElected      Kind = "leader-elected"
--- a/fresh/fresh.go
+++ b/fresh/fresh.go
@@ -43,7 +43,7 @@
 var (
 	// ErrIsolated means that no heartbeats arrive from a leader or a majority of the voters.
 	ErrIsolated = errors.New("neither control nor a majority of the lease voters was heard lately")
-	// ErrBehind means that an accepted ticket has not arrived within CatchUpTimeout.
+	// ErrBehind means that an accepted ticket has not arrived, or not within CatchUpTimeout.
 	ErrBehind = errors.New("an accepted ticket has not arrived in time")
 )
 
@@ -128,6 +128,18 @@
 	return t.checkCaughtUp(index, now)
 }
 
+// CheckCurrent returns why an entry that holds everything up to an index may lack something
+// that is accepted, or nil. Unlike CheckServing it leaves no time to catch up.
+func (t *Tracker) CheckCurrent(index uint64, voters []string, now time.Time) error {
+	if err := t.CheckServing(index, voters, now); err != nil {
+		return err
+	}
+	if len(t.pending) > 0 {
+		return fmt.Errorf("%w: accepted index is %d, local index is %d", ErrBehind, t.pending[len(t.pending)-1].index, index)
+	}
+	return nil
+}
+
 // LeaderSeenRecently reports whether a control leader was heard within HeartbeatTimeout.
 func (t *Tracker) LeaderSeenRecently(now time.Time) bool {
 	return !t.leaderAt.IsZero() && now.Sub(t.leaderAt) <= HeartbeatTimeout
--- a/fresh/fresh_test.go
+++ b/fresh/fresh_test.go
@@ -71,3 +71,17 @@
 	is.True(tracker.HeartbeatDue(start.Add(2 * time.Second)))
 	is.True(tracker.LeaderSeenRecently(start.Add(2 * time.Second)))
 }
+
+// An entry that lacks an accepted ticket must not call a key unknown, although it may go on
+// serving for CatchUpTimeout.
+func TestStateIsNotCurrentWithoutAnAcceptedTicket(t *testing.T) {
+	is := is.New(t)
+	tracker := fresh.New()
+	is.True(tracker.CheckCurrent(3, voters, at(0)) != nil) // nothing was heard
+	tracker.ObserveLeader(1, 1, 3, at(0))
+	is.NoErr(tracker.CheckCurrent(3, voters, at(0)))
+	tracker.ObserveLeader(1, 2, 5, at(time.Second))
+	is.NoErr(tracker.CheckServing(4, voters, at(time.Second)))
+	is.True(errors.Is(tracker.CheckCurrent(4, voters, at(time.Second)), fresh.ErrBehind))
+	is.NoErr(tracker.CheckCurrent(5, voters, at(time.Second)))
+}
--- a/local/start_test.go
+++ b/local/start_test.go
@@ -23,34 +23,39 @@
 	defer f.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
-	apply := func(number uint64, text string) {
+	first := f.Entries[0]
+	submit := func(number uint64, text string) {
 		t.Helper()
-		answer, err := f.ApplyTicket(ctx, number, text)
+		before := first.State().Index()
+		_, err := f.SubmitTicket(ctx, number, text)
 		is.NoErr(err)
-		is.Equal(answer.Stage, "in-force")
+		for first.State().Index() == before {
+			is.NoErr(ctx.Err())
+			time.Sleep(10 * time.Millisecond)
+		}
 	}
-	apply(1, `number: 1
+	submit(1, `number: 1
 pools: [{name: p}]
 routes: [{name: r, path-prefix: /, pool: p, idempotent: true, deadline: 2s}]
 lease-voters: [e1]
 `)
-	cutOff := f.Controls[0].VM
-	for _, c := range f.Controls[1:] {
+	cutOff := f.Controls[2].VM
+	for _, c := range f.Controls[:2] {
 		defer f.DropMessages(cutOff, c.VM)()
 		defer f.DropMessages(c.VM, cutOff)()
 	}
-	apply(2, fmt.Sprintf("number: 2\nworkspaces: [{name: east, rate: 1000, burst: 1000, key-digests: [%q]}]\n", state.HashKey("key-east")))
+	submit(2, fmt.Sprintf("number: 2\nworkspaces: [{name: east, rate: 1000, burst: 1000, key-digests: [%q]}]\n", state.HashKey("key-east")))
 
 	s := newTestEnv()
 	s.fleet = f
 	for i := range 6 {
 		e, err := f.AddEntry(fmt.Sprint("late", i), "d1")
 		is.NoErr(err)
-		for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		for end := time.Now().Add(500 * time.Millisecond); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 			result, err := s.send(ctx, e.VM, http.MethodGet, "/x", "key-east")
 			is.NoErr(err)
 			if result.status == http.StatusUnauthorized {
-				t.Fatalf("%s refused an accepted key; its state is %s, that of the fleet %s", e.VM, e.State(), f.Entries[0].State())
+				t.Fatalf("%s refused an accepted key; its state is %s, that of the fleet %s", e.VM, e.State(), first.State())
 			}
 		}
 	}
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -44,7 +44,10 @@
 	ConfigFunc func() *Config
 	// ServingCheck returns an error while this VM must not serve.
 	ServingCheck func() error
-	// Configured is closed once the first configuration has been received. Requests wait
+	// CurrentCheck returns an error while the configuration may lack an accepted change. An
+	// unknown key or route is then refused as not served by this VM.
+	CurrentCheck func() error
+	// Configured is closed once the first configuration may be served. Requests wait
 	// for it for a limited time.
 	Configured <-chan struct{}
 	Limiter    limit.Limiter
@@ -89,8 +92,11 @@
 // ServingCheck sets the function that returns an error while this VM must not serve.
 func ServingCheck(f func() error) Option { return func(o *Options) { o.ServingCheck = f } }
 
-// Configured sets the channel that is closed once the first configuration has been
-// received.
+// CurrentCheck sets the function that returns an error while the configuration may lack an
+// accepted change.
+func CurrentCheck(f func() error) Option { return func(o *Options) { o.CurrentCheck = f } }
+
+// Configured sets the channel that is closed once the first configuration may be served.
 func Configured(c <-chan struct{}) Option { return func(o *Options) { o.Configured = c } }
 
 // Limiter sets the rate limiter of the workspaces.
@@ -159,6 +165,7 @@
 	o := Options{
 		ConfigFunc:   func() *Config { return NewConfig(state.State{}) },
 		ServingCheck: func() error { return nil },
+		CurrentCheck: func() error { return nil },
 		Claim:        func(context.Context, claim.Key) error { return nil },
 		EntryCount:   func() int { return 1 },
 		KeyHeader:    defaultKeyHeader,
--- a/proxy/problem.go
+++ b/proxy/problem.go
@@ -51,6 +51,7 @@
 	problemClaimed           = problem{status: http.StatusConflict, kind: "idempotency-key-claimed", title: "A request with this idempotency key was sent before", outcome: Unknown}
 	problemClaimFailed       = problem{status: http.StatusServiceUnavailable, kind: "idempotency-key-unknown", title: "The idempotency key could not be claimed", outcome: NotRun, retryAfter: time.Second}
 	problemNotServing        = problem{status: http.StatusServiceUnavailable, kind: "not-serving", title: "This VM does not serve at present", outcome: NotRun, retryAfter: time.Second}
+	problemOutdated          = problem{status: http.StatusServiceUnavailable, kind: "outdated-configuration", title: "This VM may lack an accepted change", outcome: NotRun, retryAfter: 200 * time.Millisecond}
 	problemNoTarget          = problem{status: http.StatusServiceUnavailable, kind: "no-backend-server", title: "No backend server can take the request", outcome: NotRun, retryAfter: time.Second}
 	problemDeadline          = problem{status: http.StatusGatewayTimeout, kind: "deadline", title: "The deadline has passed"}
 	problemBackendFailed     = problem{status: http.StatusBadGateway, kind: "backend-server-failed", title: "The backend server gave no whole answer"}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -154,9 +154,9 @@
 	}
 	switch result {
 	case route.NotFound:
-		return problemNoRoute, true
+		return x.unknown(problemNoRoute), true
 	case route.MethodNotAllowed:
-		return problemMethod, true
+		return x.unknown(problemMethod), true
 	}
 	if open {
 		return problem{}, false
@@ -188,7 +188,7 @@
 	}
 	w, known := x.config.State.Workspace(state.HashKey(x.key))
 	if !known {
-		return problemUnknownKey, true
+		return x.unknown(problemUnknownKey), true
 	}
 	x.workspace = w
 	if strings.Contains(x.request.URL.Path, x.key) {
@@ -197,6 +197,15 @@
 	return problem{}, false
 }
 
+// unknown returns the problem of a request whose key or route is not in the configuration. If
+// the configuration may lack an accepted change, another VM may well know them.
+func (x *exchange) unknown(p problem) problem {
+	if err := x.handler.options.CurrentCheck(); err != nil {
+		return problemOutdated.withDetail(err.Error())
+	}
+	return p
+}
+
 func (x *exchange) chargeRate() (problem, bool) {
 	if x.workspace.Unlimited {
 		return problem{}, false
--- a/proxy/startup_test.go
+++ b/proxy/startup_test.go
@@ -48,3 +48,28 @@
 	is.Equal(response.Header.Get(proxy.OutcomeHeader), string(proxy.NotRun))
 	is.True(time.Since(start) < 600*time.Millisecond) // the caller waits for 800 ms
 }
+
+// An entry that lacks an accepted change may not know a key or a route that others know. Its
+// callers are told to come back, and not that there is no such key.
+func TestOutdatedConfigurationCallsNoKeyOrRouteUnknown(t *testing.T) {
+	is := is.New(t)
+	current := false
+	check := proxy.CurrentCheck(func() error {
+		if current {
+			return nil
+		}
+		return errors.New("a change has not arrived")
+	})
+	server := serve(t, &fixedPicker{}, check)
+	requests := map[string]http.Header{"/read/1": {"Authorization": {"Bearer added"}}, "/added/1": nil}
+	statuses := map[string]int{"/read/1": http.StatusUnauthorized, "/added/1": http.StatusNotFound}
+	for path, header := range requests {
+		current = false
+		response := send(t, http.MethodGet, server.URL+path, nil, header)
+		is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+		is.Equal(response.Header.Get(proxy.OutcomeHeader), string(proxy.NotRun))
+		is.True(response.Header.Get("Retry-After") != "")
+		current = true
+		is.Equal(send(t, http.MethodGet, server.URL+path, nil, header).StatusCode, statuses[path])
+	}
+}
