Keep the requests to a backend server within the limit that it names

Cause: nothing read the limit. The class is a bound over all VMs that no single one can keep, so it belongs where the requests of all VMs are assigned.

The holder of a server's cell keeps a token bucket for each server that names a limit. Each assignment takes a token, so that retries, probes of silent and ejected servers, overdue ones and requests that any server would do for cannot pass it by. A server without a token counts as full, not as failed, silent or overdue, in the estimates of capacity and wait too. Entries report what answers say with the result; a limit ends with an answer without it to a request that was sent after it was last named, since answers overtake each other. Holders publish limits: a new holder starts with them and without tokens. Entries that choose by themselves draw by chance a quarter of the limit together. Limits that are no rate are ignored, with a line in the log. One request in 5 s goes to a server at least, since nothing else shows that its limit has ended.

--- a/event/event.go
+++ b/event/event.go
@@ -56,6 +56,8 @@
 	TargetCold         Kind = "target-cold"
 	TargetWarm         Kind = "target-warm"
 	TargetSilent       Kind = "target-silent"
+	TargetLimited      Kind = "target-limited"
+	TargetUnlimited    Kind = "target-unlimited"
 	Ejected            Kind = "ejected"
 	Readmitted         Kind = "readmitted"
 	EjectionRefused    Kind = "ejection-refused"
--- a/health/detector.go
+++ b/health/detector.go
@@ -82,6 +82,8 @@
 	InFlight int
 	// Cold is set if a response said that the backend server is cold.
 	Cold bool
+	// Limit is what the last response said about the requests that the backend server takes.
+	Limit Limit
 }
 
 // Ejection is an ejected backend server, which receives no requests.
--- a/health/health.go
+++ b/health/health.go
@@ -40,4 +40,6 @@
 	Latency time.Duration
 	// Cold is set if the response says that the backend server is cold.
 	Cold bool
+	// Limit is what the response says about the requests that the backend server takes.
+	Limit Limit
 }
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -74,6 +74,7 @@
 func (b *Balancer) receiveSlotDone(from string, m *wire.SlotDone, now time.Time) {
 	result := health.Result{
 		Kind: health.Kind(m.GetResult()), Latency: time.Duration(m.GetLatencyMicros()) * time.Microsecond, Cold: m.GetCold(),
+		Limit: limitOfWire(m.GetLimit()),
 	}
 	b.mu.Lock()
 	h := b.localHolder(m.GetPool())
--- a/pool/holder.go
+++ b/pool/holder.go
@@ -40,10 +40,24 @@
 	// warmed holds targets that are warm in the given boot, even if they announce that
 	// they are cold.
 	warmed map[string]uint64
+	// limits holds the requests per second of the targets that name a limit.
+	limits map[string]float64
 }
 
 func (s status) equal(other status) bool {
-	return slices.Equal(s.ejected, other.ejected) && slices.Equal(s.cold, other.cold) && maps.Equal(s.warmed, other.warmed)
+	return slices.Equal(s.ejected, other.ejected) && slices.Equal(s.cold, other.cold) && maps.Equal(s.warmed, other.warmed) &&
+		maps.Equal(s.limits, other.limits)
+}
+
+// sameLimited reports whether the same targets name a limit.
+func (s status) sameLimited(other status) bool {
+	return slices.Equal(slices.Sorted(maps.Keys(s.limits)), slices.Sorted(maps.Keys(other.limits)))
+}
+
+// withLimits returns a copy of the status with other limits.
+func (s status) withLimits(limits map[string]float64) status {
+	s.limits = limits
+	return s
 }
 
 // withEjected returns a copy of the status with other ejected servers.
@@ -79,16 +93,25 @@
 	}
 }
 
-// publishInterval is the shortest time between two publications of changed ejections alone
-// if entries do not choose by themselves.
+// publishInterval is the shortest time between two publications of changed rates of limits,
+// or, if entries do not choose by themselves, of changed ejections alone.
 const publishInterval = 3 * time.Second
 
 // publishDue reports whether to gossip the status of the cell, and if so takes it as
-// published. Every entry must know at once which servers are cold. Ejections matter only to
-// entries that choose by themselves.
+// published. Every entry must know at once which servers are cold or name a limit. Ejections
+// matter only to entries that choose by themselves.
 func (h *holder) publishDue(next status, mode PlacementMode, now time.Time) bool {
-	onlyEjections := next.withEjected(h.published.ejected).equal(h.published)
-	if next.equal(h.published) || mode == PlacementHolder && onlyEjections && now.Sub(h.publishedAt) < publishInterval {
+	if next.equal(h.published) {
+		return false
+	}
+	urgent := next
+	if mode == PlacementHolder {
+		urgent = urgent.withEjected(h.published.ejected)
+	}
+	if next.sameLimited(h.published) {
+		urgent = urgent.withLimits(h.published.limits)
+	}
+	if urgent.equal(h.published) && now.Sub(h.publishedAt) < publishInterval {
 		return false
 	}
 	h.published, h.publishedAt = next, now
@@ -103,6 +126,7 @@
 func (h *holder) report(vm string, reports []health.Report, now time.Time) {
 	for _, r := range reports {
 		h.detector.AddReport(vm, r, now)
+		h.scheduler.reportLimit(r.Target, r.Limit, now)
 	}
 }
 
@@ -185,7 +209,7 @@
 }
 
 func (h *holder) status() status {
-	s := status{warmed: maps.Clone(h.warmed)}
+	s := status{warmed: maps.Clone(h.warmed), limits: h.scheduler.limits()}
 	for _, e := range h.detector.Ejected() {
 		s.ejected = append(s.ejected, e.Target)
 	}
--- a/pool/options.go
+++ b/pool/options.go
@@ -19,6 +19,9 @@
 	DataCentre string
 	// Placement selects who chooses the backend servers.
 	Placement PlacementMode
+	// EntryCount returns the number of entries that may send requests, or 0 while it is not
+	// known.
+	EntryCount func() int
 	// KeepConnections is how long entries keep idle connections to backend servers.
 	KeepConnections time.Duration
 	// RetryRatio and RetrySlack limit the retries of a pool, if RetryBudget was called.
@@ -44,6 +47,10 @@
 // Placement selects who chooses the backend servers.
 func Placement(mode PlacementMode) Option { return func(o *Options) { o.Placement = mode } }
 
+// EntryCount sets the function that returns the number of entries that may send requests, or
+// 0 while it is not known.
+func EntryCount(f func() int) Option { return func(o *Options) { o.EntryCount = f } }
+
 // RetryBudget limits the retries of a pool over the whole fleet: ratio is the share of
 // requests that may be retried, slack the number of retries allowed on top of it.
 func RetryBudget(ratio, slack float64) Option {
@@ -71,9 +78,10 @@
 
 func newOptions(opts ...Option) Options {
 	o := Options{
-		Placement: PlacementLocal,
-		State:     func() state.State { return state.State{} },
-		Settings:  func() []state.Pool { return nil },
+		Placement:  PlacementLocal,
+		State:      func() state.State { return state.State{} },
+		Settings:   func() []state.Pool { return nil },
+		EntryCount: func() int { return 1 },
 	}
 	for _, opt := range opts {
 		opt(&o)
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -68,6 +68,10 @@
 	warm = cs.withoutEjected(warm, len(targets), settings.Floor)
 	warm = withoutTried(warm, r.Avoid)
 	warm = cs.withoutFailing(warm, settings.Floor, now)
+	warm, limited := cs.withinLimits(warm, b.limitShare(), now)
+	if len(limited) > 0 {
+		return b.newChoice(cs, limited[0], false, now), nil, true
+	}
 	if len(warm) == 0 {
 		if len(cold) > 0 && len(r.Avoid) == 0 {
 			return pick.Choice{}, cs, false
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -16,6 +16,7 @@
 package pool
 
 import (
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -113,7 +114,13 @@
 	for _, w := range body.GetWarmed() {
 		next.warmed[w.GetName()] = w.GetBoot()
 	}
-	b.cellState(item.Key.Name).status = next
+	limits := make(map[string]float64)
+	for _, l := range body.GetLimited() {
+		limits[l.GetName()] = l.GetPerSecond()
+	}
+	cs := b.cellState(item.Key.Name)
+	cs.status = next
+	cs.publishLimits(limits, b.options.Clock.Now())
 }
 
 // Tick reports results to the holders and evaluates the pools held by this VM.
@@ -144,12 +151,13 @@
 	var reports []health.Report
 	for name, s := range cs.servers {
 		oldestWait := s.oldestWait(now)
-		if s.stats.Total()+s.stats.Late == 0 && !s.cold && oldestWait < urgentWait {
+		unlimited := s.reportedLimit.Stated == health.LimitUnstated
+		if s.stats.Total()+s.stats.Late == 0 && !s.cold && oldestWait < urgentWait && unlimited {
 			continue
 		}
-		urgent = urgent || s.stats.Bad()+s.stats.Late > 0 || s.cold || oldestWait >= urgentWait
+		urgent = urgent || s.stats.Bad()+s.stats.Late > 0 || s.cold || oldestWait >= urgentWait || !unlimited
 		reports = append(reports, health.Report{
-			Target: name, Stats: s.stats, Cold: s.cold, Oldest: oldestWait, InFlight: len(s.inFlight),
+			Target: name, Stats: s.stats, Cold: s.cold, Limit: s.reportedLimit, Oldest: oldestWait, InFlight: len(s.inFlight),
 		})
 	}
 	if !urgent && now.Sub(cs.lastReport) < routineReportInterval {
@@ -157,7 +165,7 @@
 	}
 	cs.lastReport = now
 	for _, s := range cs.servers {
-		s.stats, s.cold = health.Stats{}, false
+		s.stats, s.cold, s.reportedLimit = health.Stats{}, false, health.Limit{}
 	}
 	return reports
 }
@@ -204,6 +212,7 @@
 		for _, name := range b.cellState(cell).status.cold {
 			b.markCold(h, cell, name)
 		}
+		h.scheduler.assumeLimits(b.knownLimits(poolOfCell(cell, b.options.State())))
 		b.holders[cell] = h
 	}
 	return h
@@ -243,10 +252,12 @@
 		return
 	}
 	next, decision := h.evaluate(b.cellServers(cell), settings, now)
+	before := h.published.limits
 	publish := h.publishDue(next, b.options.Placement, now)
 	b.mu.Unlock()
 	b.recordEvents(settings.Name, decision)
 	if publish {
+		b.recordLimits(settings.Name, before, next.limits)
 		b.publish(cell, next)
 	}
 	b.tickScheduler(cell, now)
@@ -258,6 +269,9 @@
 	for name, boot := range next.warmed {
 		m.Warmed = append(m.Warmed, &wire.Warmed{Name: name, Boot: boot})
 	}
+	for name, perSecond := range next.limits {
+		m.Limited = append(m.Limited, &wire.Limited{Name: name, PerSecond: perSecond})
+	}
 	body, err := proto.Marshal(m)
 	if err != nil {
 		return
@@ -276,6 +290,20 @@
 	}
 }
 
+// recordLimits records which targets have begun or ceased to name a limit.
+func (b *Balancer) recordLimits(pool string, before, after map[string]float64) {
+	for name, perSecond := range after {
+		if _, known := before[name]; !known {
+			b.options.EventLog.Record(event.TargetLimited, name, fmt.Sprintf("pool %s, %g/s", pool, perSecond))
+		}
+	}
+	for name := range before {
+		if _, limited := after[name]; !limited {
+			b.options.EventLog.Record(event.TargetUnlimited, name, "pool "+pool)
+		}
+	}
+}
+
 // Receive handles a message and reports whether it was addressed to the balancer.
 func (b *Balancer) Receive(from string, e *wire.Envelope) bool {
 	now := b.options.Clock.Now()
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -150,6 +150,8 @@
 	backlog      backlog
 	// budget limits the retries of the whole fleet.
 	budget *retry.Budget
+	// assumedLimits are the limits of servers that are not in servers yet.
+	assumedLimits map[string]float64
 	// free is reused by withFreeSlot.
 	free []*server
 }
@@ -222,7 +224,7 @@
 	moment := s.model.At(now)
 	for _, srv := range s.servers {
 		if srv.ramp == nil && !srv.ejected && moment.Probability(srv.estimate) <= maxGrayNonIdempotent {
-			freeSlots += max(0, srv.slots-srv.inUse)
+			freeSlots += srv.freeSlots(now)
 		}
 	}
 	freeSlots = max(0, freeSlots-len(s.queue))
@@ -237,6 +239,9 @@
 		a.ramping = true
 		srv.ramp.Grant(now)
 	}
+	if srv.throttle != nil {
+		srv.throttle.take(now)
+	}
 	srv.lastAssigned = now
 	srv.inUse++
 	s.assignments[req.key()] = a
@@ -270,14 +275,17 @@
 
 // servedPerSecond returns the rate at which slots become free while all of them are in use.
 func (s *scheduler) servedPerSecond(now time.Time) float64 {
-	slots := 0
+	served := 0.0
 	moment := s.model.At(now)
 	for _, srv := range s.servers {
 		if moment.Probability(srv.estimate) <= maxGrayNonIdempotent {
-			slots += srv.slots
+			served += srv.servedPerSecond(s.serviceTime)
 		}
 	}
-	return float64(max(1, slots)) / max(s.serviceTime, time.Millisecond).Seconds()
+	if served == 0 {
+		return 1 / max(s.serviceTime, time.Millisecond).Seconds()
+	}
+	return served
 }
 
 // inTime reports whether a request that gets a slot now can meet its objective.
@@ -331,6 +339,10 @@
 		return "", false
 	}
 	s.release(key, a)
+	a.server.recordLimit(r.Limit, a.since, now)
+	if r.Kind == "" && a.server.throttle != nil {
+		a.server.throttle.giveBack()
+	}
 	if r.Kind == health.OK || r.Kind == health.Failed {
 		a.server.setContact(s.entry(key.vm), now)
 	}
--- a/pool/server.go
+++ b/pool/server.go
@@ -17,8 +17,10 @@
 	estimate   health.Estimate
 	inUse      int
 	// ramp is set while the server is cold.
-	ramp    *Ramp
-	ejected bool
+	ramp *Ramp
+	// throttle is set while the server names a limit.
+	throttle *throttle
+	ejected  bool
 	// lastAssigned is the time at which the server last received a request.
 	lastAssigned time.Time
 	// silent is set while the server has not answered its latest requests at all.
@@ -36,15 +38,37 @@
 // hasFreeSlot reports whether the server can be sent a request. One that does not answer is
 // sent a single request at a time until it does.
 func (srv *server) hasFreeSlot(now time.Time) bool {
-	if srv.inUse >= srv.slots || srv.silent && srv.inUse > 0 {
+	if srv.freeSlots(now) == 0 || srv.silent && srv.inUse > 0 {
 		return false
 	}
 	return srv.ramp == nil || srv.ramp.Available(now)
 }
 
+// freeSlots returns the number of requests that the server can be sent at once, if it works.
+func (srv *server) freeSlots(now time.Time) int {
+	free := max(0, srv.slots-srv.inUse)
+	if srv.throttle != nil {
+		free = min(free, srv.throttle.available(now))
+	}
+	return free
+}
+
+// servedPerSecond returns the requests per second that the server takes while all its slots
+// are in use.
+func (srv *server) servedPerSecond(serviceTime time.Duration) float64 {
+	served := float64(srv.slots) / max(serviceTime, time.Millisecond).Seconds()
+	if srv.throttle != nil {
+		served = min(served, throttledRate(srv.throttle.perSecond))
+	}
+	return served
+}
+
 // overdue reports whether the server has received no request for maxIdle, whatever its
-// estimate. Ejections are decided by the failure detector, within the floor.
-func (srv *server) overdue(now time.Time) bool { return now.Sub(srv.lastAssigned) >= maxIdle }
+// estimate. Ejections are decided by the failure detector, within the floor. A server whose
+// limit leaves no request is not overdue: it gets what it asks for.
+func (srv *server) overdue(now time.Time) bool {
+	return now.Sub(srv.lastAssigned) >= maxIdle && (srv.throttle == nil || srv.throttle.available(now) > 0)
+}
 
 const (
 	// shedWeight is the weight of one result in the share of rejected requests, and shedMemory
@@ -124,7 +148,11 @@
 			srv = &server{name: t.Name}
 		}
 		if !known || srv.boot != t.Boot {
-			srv.estimate, srv.boot = health.NewEstimate(s.model, now), t.Boot
+			srv.estimate, srv.boot, srv.throttle = health.NewEstimate(s.model, now), t.Boot, nil
+		}
+		if perSecond, limited := s.assumedLimits[t.Name]; limited {
+			srv.throttle = newThrottle(perSecond, now)
+			delete(s.assumedLimits, t.Name)
 		}
 		srv.dataCentre, srv.slots = t.DataCentre, t.Slots
 		servers = append(servers, srv)
--- a/pool/stats.go
+++ b/pool/stats.go
@@ -32,6 +32,10 @@
 	cold     bool
 	inFlight map[uint64]time.Time
 
+	// limit is set while the server names one, and reportedLimit if the holder must hear of it.
+	limit         *localLimit
+	reportedLimit health.Limit
+
 	failures   int
 	avoidUntil time.Time
 	coldUntil  time.Time
@@ -50,11 +54,14 @@
 func (s *serverStats) recordResult(r health.Result, now time.Time) {
 	s.stats.Add(r)
 	s.cold = s.cold || r.Cold
-	s.recordLocally(r, now)
+	if limit := s.recordLocally(r, now); limit.Stated != health.LimitUnstated {
+		s.reportedLimit = limit
+	}
 }
 
-// recordLocally records a result for choices of this VM only.
-func (s *serverStats) recordLocally(r health.Result, now time.Time) {
+// recordLocally records a result for choices of this VM only, and returns the change of the
+// server's limit.
+func (s *serverStats) recordLocally(r health.Result, now time.Time) health.Limit {
 	if r.Cold {
 		s.coldUntil = now.Add(coldTTL)
 	}
@@ -67,6 +74,7 @@
 	case r.Kind == health.OK || r.Kind == health.Failed:
 		s.failures = 0
 	}
+	return s.recordLimit(r, now)
 }
 
 // latencyStats tracks the latency of a pool as the moving mean and variance of the
--- a/pool/wire.go
+++ b/pool/wire.go
@@ -14,7 +14,7 @@
 			Name: r.Target, Ok: uint32(r.Stats.OK), Failed: uint32(r.Stats.Failed),
 			TimedOut: uint32(r.Stats.TimedOut), Unreachable: uint32(r.Stats.Unreachable), Torn: uint32(r.Stats.Torn), Late: uint32(r.Stats.Late),
 			LogSum: r.Stats.LogSum, LogSquares: r.Stats.LogSquares,
-			OldestMicros: uint64(r.Oldest.Microseconds()), InFlight: uint32(r.InFlight), Cold: r.Cold,
+			OldestMicros: uint64(r.Oldest.Microseconds()), InFlight: uint32(r.InFlight), Cold: r.Cold, Limit: limitToWire(r.Limit),
 		})
 	}
 	return m
@@ -31,12 +31,24 @@
 				LogSum: t.GetLogSum(), LogSquares: t.GetLogSquares(),
 			},
 			Oldest:   time.Duration(t.GetOldestMicros()) * time.Microsecond,
-			InFlight: int(t.GetInFlight()), Cold: t.GetCold(),
+			InFlight: int(t.GetInFlight()), Cold: t.GetCold(), Limit: limitOfWire(t.GetLimit()),
 		})
 	}
 	return reports
 }
 
+// limitToWire returns nil if nothing is stated, so that nothing is sent.
+func limitToWire(l health.Limit) *wire.Limit {
+	if l.Stated == health.LimitUnstated {
+		return nil
+	}
+	return &wire.Limit{Stated: string(l.Stated), PerSecond: l.PerSecond}
+}
+
+func limitOfWire(m *wire.Limit) health.Limit {
+	return health.Limit{Stated: health.LimitStatement(m.GetStated()), PerSecond: m.GetPerSecond()}
+}
+
 // wire returns the request as it is sent to the holder of a cell.
 func (req request) wire(cell string, now time.Time) *wire.SlotAsk {
 	return &wire.SlotAsk{
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -29,6 +29,8 @@
 	detail string
 	// cold is set if the response says that the backend server is in the cold phase.
 	cold bool
+	// limit is what the response says about the requests that the backend server takes.
+	limit health.Limit
 }
 
 // rejectedRetryAfter is the shortest retry delay after all attempts of a request were rejected
@@ -91,6 +93,9 @@
 	headers := x.handler.options.Headers
 	a.cold = response.Header.Get(headers.Phase) == string(fleet.Cold)
 	if kind, rejected := headers.rejection(response); rejected {
+		if kind == health.Shed {
+			a.readLimit(response.Header)
+		}
 		response.Body.Close()
 		a.report(kind, time.Since(started))
 		return nil, &failure{kind: kind, outcome: NotRun, reachedBackend: true, cause: errors.Errorf("backend server refused the request with %d", response.StatusCode)}
@@ -100,6 +105,7 @@
 		response.Body.Close()
 		return nil, a.failTruncated(ctx, err, started)
 	}
+	a.readLimit(response.Header)
 	return a.receive(ctx, response, started)
 }
 
@@ -194,7 +200,7 @@
 func (a *attempt) report(kind health.Kind, latency time.Duration) {
 	a.exchange.handler.metrics.attempts.WithLabelValues(string(kind)).Inc()
 	a.logAttempt(kind, latency, a.detail)
-	a.choice.Done(health.Result{Kind: kind, Latency: latency, Cold: a.cold})
+	a.choice.Done(health.Result{Kind: kind, Latency: latency, Cold: a.cold, Limit: a.limit})
 }
 
 // targetURL returns the request's URL with the address of a backend server.
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -34,6 +34,9 @@
 	Load string
 	// Phase reports, on responses, the backend server's phase.
 	Phase string
+	// Limit names, on responses, the requests per second that the backend server takes from
+	// all entries together, as a decimal number.
+	Limit string
 }
 
 // DefaultHeaders returns the fleet's own header names.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -21,6 +21,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -65,6 +66,9 @@
 	metrics     *metrics
 	// received and sent pace bodies in both directions of the link.
 	received, sent *pacer
+	// invalidLimitLogged is when an invalid limit of a backend server was last logged, in
+	// nanoseconds since the Unix epoch.
+	invalidLimitLogged atomic.Int64
 }
 
 func New(opts ...Option) *Handler {
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -423,3 +423,31 @@
 		handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/read/1", nil))
 	}
 }
+
+// A server may name anything as its limit. What is no rate must neither bind nor end a limit.
+func TestInvalidLimitOfABackendServerIsIgnored(t *testing.T) {
+	headers := proxy.DefaultHeaders()
+	headers.Limit = "X-Limit"
+	limits := map[string]health.Limit{
+		"2.5": {Stated: health.LimitNamed, PerSecond: 2.5}, "0": {Stated: health.LimitNamed}, "": {},
+		"-1": {}, "many": {}, "NaN": {}, "+Inf": {}, "1,2": {},
+	}
+	for text, want := range limits {
+		is := is.New(t)
+		backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X-Limit", text) }))
+		results := make(chan health.Result, 1)
+		picker := pickerFunc(func() pick.Choice {
+			return pick.Choice{Target: fleet.Target{Name: "b1", Addr: backend.Listener.Addr().String()}, Done: func(r health.Result) { results <- r }}
+		})
+		send(t, http.MethodGet, serve(t, picker, proxy.HeaderNames(headers)).URL+"/read/1", nil, nil)
+		is.Equal((<-results).Limit, want) // limit
+		backend.Close()
+	}
+}
+
+// pickerFunc is a picker that does not fail.
+type pickerFunc func() pick.Choice
+
+func (f pickerFunc) Pick(context.Context, string, pick.Request) (pick.Choice, error) { return f(), nil }
+func (f pickerFunc) HedgeDelay(string) time.Duration                                 { return 0 }
+func (f pickerFunc) String() string                                                  { return "func" }
