Send the first beacon of a leader as soon as it has committed

Callers got 503 after a power loss of the fleet for longer than needed: a new leader that could not confirm a read yet, since it had committed nothing in its term, waited for a beacon period (1 s) before it tried again, and entries serve and take leases only after its first beacon. It tries at the next tick (50 ms).

--- a/ctrl/watch.go
+++ b/ctrl/watch.go
@@ -224,11 +224,12 @@
 	if now.Sub(c.lastBeacon) < beaconPeriod {
 		return
 	}
-	c.lastBeacon = now
 	c.readToken++
 	token := c.readToken
+	// A leader that has committed nothing yet cannot confirm a read. Entries do not serve
+	// before the first beacon, so the next tick tries again.
 	if c.node.ReadIndex(token) == nil {
-		c.beaconToken = token
+		c.lastBeacon, c.beaconToken = now, token
 	}
 }
 
--- a/ctrl/watch_test.go
+++ b/ctrl/watch_test.go
@@ -107,3 +107,30 @@
 	c.watchers["e0"].members = 40
 	is.Equal(len(c.missingPeers("e0", c.watchers["e0"])), 0)
 }
+
+// A new leader cannot confirm a read before it has committed an entry of its term. It waited
+// for a whole beacon period then, while no entry served after a power loss of the fleet.
+func TestFirstBeaconFollowsTheFirstCommitOfALeader(t *testing.T) {
+	is := is.New(t)
+	group := quorum.NewGroup(quorum.Replica{ID: 1, VM: "c1"})
+	node, err := quorum.New(1, quorum.PersistedState{Snapshot: quorum.Snapshot{Group: group}})
+	is.NoErr(err)
+	c := &Control{options: newOptions(VM("c1")), watchers: make(map[string]*watcher), transport: discardTransport{}, node: node}
+	l := ledger.New(ledger.DefaultDedupWindow)
+	c.ledger.Store(&l)
+	for node.Status().Role != quorum.Leader {
+		node.Tick()
+	}
+	c.publishStatus()
+	now := c.options.Clock.Now()
+	c.tickWatchers(now)
+	is.True(c.beacon == nil) // nothing is committed yet
+	for e := node.Effects(); !e.Empty(); e = node.Effects() {
+		node.MarkPersisted(e)
+	}
+	c.tickWatchers(now.Add(tickPeriod))
+	for _, r := range node.Effects().Reads {
+		c.completeRead(r)
+	}
+	is.True(c.beacon != nil)
+}
