Take the first commit of a leader as its first beacon

Entries serve and take leases after the first beacon of a leader.

A commit of its own term shows as much as a round: a majority has just followed this leader. At most one a second is taken, since beacons are gossiped.

The new test fails without this.

--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -113,8 +113,10 @@
 	for _, r := range e.Reads {
 		c.completeRead(r)
 	}
-	if len(e.Committed) > 0 {
-		c.schedulePush(c.options.Clock.Now())
+	if n := len(e.Committed); n > 0 {
+		now := c.options.Clock.Now()
+		c.renewBeacon(e.Committed[n-1], now)
+		c.schedulePush(now)
 	}
 	return c.compact()
 }
--- a/ctrl/watch.go
+++ b/ctrl/watch.go
@@ -233,6 +233,18 @@
 	}
 }
 
+// renewBeacon renews the leader's beacon with a committed entry of its own term: a majority has
+// just followed this leader. After an election entries need not wait for another round then.
+func (c *Control) renewBeacon(committed quorum.Entry, now time.Time) {
+	s := c.node.Status()
+	if s.Role != quorum.Leader || committed.Term != s.Term || now.Sub(c.lastBeacon) < beaconPeriod {
+		return
+	}
+	c.readToken++
+	c.lastBeacon = now
+	c.setBeacon(quorum.ConfirmedRead{Term: s.Term, Token: c.readToken})
+}
+
 // setBeacon stores a beacon that proves recent leadership. Watchers receive it with
 // the next delta.
 func (c *Control) setBeacon(r quorum.ConfirmedRead) {
--- a/ctrl/watch_test.go
+++ b/ctrl/watch_test.go
@@ -108,13 +108,14 @@
 	is.Equal(len(c.missingPeers("e0", c.watchers["e0"])), 0)
 }
 
-// A new leader cannot confirm a read before it has committed an entry of its term. It waited
-// for a whole beacon period then, while no entry served after a power loss of the fleet.
-func TestFirstBeaconFollowsTheFirstCommitOfALeader(t *testing.T) {
-	is := is.New(t)
+// newSingleLeader returns the leader of a group of one that has committed nothing yet.
+func newSingleLeader(t *testing.T) (*Control, *quorum.Node) {
+	t.Helper()
 	group := quorum.NewGroup(quorum.Replica{ID: 1, VM: "c1"})
 	node, err := quorum.New(1, quorum.PersistedState{Snapshot: quorum.Snapshot{Group: group}})
-	is.NoErr(err)
+	if err != nil {
+		t.Fatal(err)
+	}
 	c := &Control{options: newOptions(VM("c1")), watchers: make(map[string]*watcher), transport: discardTransport{}, node: node}
 	l := ledger.New(ledger.DefaultDedupWindow)
 	c.ledger.Store(&l)
@@ -122,6 +123,14 @@
 		node.Tick()
 	}
 	c.publishStatus()
+	return c, node
+}
+
+// A new leader cannot confirm a read before it has committed an entry of its term. It waited
+// for a whole beacon period then, while no entry served after a power loss of the fleet.
+func TestFirstBeaconFollowsTheFirstCommitOfALeader(t *testing.T) {
+	is := is.New(t)
+	c, node := newSingleLeader(t)
 	now := c.options.Clock.Now()
 	c.tickWatchers(now)
 	is.True(c.beacon == nil) // nothing is committed yet
@@ -134,3 +143,23 @@
 	}
 	is.True(c.beacon != nil)
 }
+
+// After a power loss all entries wait for a beacon. The first change that a leader commits
+// must bring one, without a round of its own.
+func TestFirstCommitOfALeaderIsABeacon(t *testing.T) {
+	is := is.New(t)
+	c, node := newSingleLeader(t)
+	for e := node.Effects(); !e.Empty(); e = node.Effects() {
+		node.MarkPersisted(e)
+		for _, entry := range e.Committed {
+			c.renewBeacon(entry, c.options.Clock.Now())
+		}
+	}
+	is.True(c.beacon != nil)
+	is.Equal(c.beacon.GetTerm(), node.Status().Term)
+	first := c.beacon
+	c.renewBeacon(quorum.Entry{Term: node.Status().Term}, c.options.Clock.Now())
+	is.Equal(c.beacon, first) // beacons are gossiped, so they are rare
+	c.renewBeacon(quorum.Entry{Term: node.Status().Term - 1}, c.options.Clock.Now().Add(beaconPeriod))
+	is.Equal(c.beacon, first) // an entry of an earlier leader proves nothing
+}
