Remove a backend server by its last accepted registration

What a server saw: its call that it leaves was acknowledged, and requests went on coming (DRAIN), if it was made at a control VM that lagged behind.

Cause: the call has no number of its own. The replica took the registration that it knew itself and added one; an old one, or none, makes the removal older than what the group has accepted, so it was dropped and yet acknowledged. The same class as the first state of an entry: a decision by a state that is not known to be current.

--- a/ctrl/changes.go
+++ b/ctrl/changes.go
@@ -34,9 +34,15 @@
 	return c.proposeObject(ctx, t, t.Name)
 }
 
-// Registered returns the registration of a backend server, and whether it exists.
-func (c *Control) Registered(name string) (state.Target, bool) {
-	return state.Get[state.Target](c.Ledger().State(), name)
+// Registered returns the last accepted registration of a backend server, and whether it
+// exists. This replica may lag behind, so the read is confirmed by the leader.
+func (c *Control) Registered(ctx context.Context, name string) (state.Target, bool, error) {
+	current, err := c.Current(ctx)
+	if err != nil {
+		return state.Target{}, false, err
+	}
+	t, known := state.Get[state.Target](current.State(), name)
+	return t, known, nil
 }
 
 // proposeObject proposes a change of one object, outside the operators' numbering of
--- a/ctrl/group_test.go
+++ b/ctrl/group_test.go
@@ -363,10 +363,39 @@
 	g.wipe(4)
 	is.NoErr(g.nodes[1].Register(ctx, s)) // a delayed announcement
 	g.read(1)
-	known, _ := g.nodes[1].Registered("s1")
+	known, _, err := g.nodes[1].Registered(ctx, "s1")
+	is.NoErr(err)
 	is.Equal(known.Phase, state.TargetLeaving)
 }
 
+// The call that removes a server has no number of its own and gets the one after the last. A
+// replica that lagged behind took an old one, or none, and acknowledged a removal without
+// effect.
+func TestRemovalAtALaggingReplicaIsTheLastWord(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	g := newTestGroup(t)
+	g.start(true, g.all()...)
+	g.await("complete group", 4*time.Second, func() bool { return g.complete(groupSize) })
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	leader := g.leader()
+	lagging := (leader + 1) % groupSize
+	const pause = 400 * time.Millisecond // shorter than an election timeout
+	go g.nodes[lagging].do(context.Background(), func() { time.Sleep(pause) })
+	time.Sleep(pause / 8)
+	s := state.Target{Name: "s1", Pool: "p", DataCentre: "a", Addr: "10.0.0.1:80", Slots: 4, Phase: state.TargetWarm, Boot: 7, Count: 5}
+	is.NoErr(g.nodes[leader].Register(ctx, s))
+	last, known, err := g.nodes[lagging].Registered(ctx, "s1")
+	is.NoErr(err)
+	is.True(known)
+	last.Count++
+	is.NoErr(g.nodes[lagging].Register(ctx, last.WithPhase(state.TargetGone)))
+	now, _, err := g.nodes[leader].Registered(ctx, "s1")
+	is.NoErr(err)
+	is.Equal(now.Phase, state.TargetGone)
+}
+
 func TestReadFailsWithoutMajority(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
