Count the permits of a cold server against its limit

A server that is cold and names a limit got as many requests as its ramp allows, if entries asked its holder for permits: the one way past the throttle that was left. The new test fails without this.

--- a/pool/holder.go
+++ b/pool/holder.go
@@ -237,15 +237,16 @@
 	}
 	best, free := "", 0
 	for name, r := range h.ramps {
-		available := r.Limit(now) - r.InUse(now)
+		available := min(r.Limit(now)-r.InUse(now), h.scheduler.withinLimit(name, now))
 		if available > free || available == free && available > 0 && name < best {
 			best, free = name, available
 		}
 	}
-	if best == "" {
+	if best == "" || !h.ramps[best].Grant(now) {
 		return "", false
 	}
-	return best, h.ramps[best].Grant(now)
+	h.scheduler.useLimit(best, now)
+	return best, true
 }
 
 // done returns the permit of a request that has a result.
--- a/pool/throttle.go
+++ b/pool/throttle.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -108,6 +109,21 @@
 	return limits
 }
 
+// withinLimit returns the number of requests that the limit of a server leaves.
+func (s *scheduler) withinLimit(name string, now time.Time) int {
+	if srv := s.byName[name]; srv != nil && srv.throttle != nil {
+		return srv.throttle.available(now)
+	}
+	return math.MaxInt
+}
+
+// useLimit counts a request that an entry may send to a server with a permit.
+func (s *scheduler) useLimit(name string, now time.Time) {
+	if srv := s.byName[name]; srv != nil && srv.throttle != nil {
+		srv.throttle.take(now)
+	}
+}
+
 // reportLimit records a limit that an entry saw on the answer to a request that it had sent by
 // its own choice. The entry reports the end of a limit only if it knew of the limit before.
 func (s *scheduler) reportLimit(name string, l health.Limit, now time.Time) {
--- a/pool/throttle_test.go
+++ b/pool/throttle_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/dottereldeal/dottereldeal/fleet"
 	"github.com/dottereldeal/dottereldeal/health"
+	"github.com/dottereldeal/dottereldeal/state"
 )
 
 const (
@@ -294,3 +295,22 @@
 	is.True(published >= 1 && published <= 4)
 	is.True(h.publishDue(status{}, PlacementHolder, now.Add(Period)))
 }
+
+// Permits for a cold server that names a limit count against both.
+func TestPermitsOfAColdServerStayWithinItsLimit(t *testing.T) {
+	is := is.New(t)
+	now := startTime
+	h := newHolder(now)
+	h.scheduler.assumeLimits(map[string]float64{"b1": 2})
+	h.setTargets([]fleet.Target{{Name: "b1", Slots: 4, Boot: 1, Phase: fleet.Cold}}, state.Pool{ColdSlots: 100, ColdRate: 50}, 0)
+	h.scheduler.sync(h.view, now)
+	var sent []time.Time
+	for at := h.permitsFrom(); at.Sub(h.permitsFrom()) < 20*time.Second; at = at.Add(10 * time.Millisecond) {
+		if name, ok := h.permit(at); ok {
+			sent = append(sent, at)
+			h.done(name, true, at)
+		}
+	}
+	is.True(len(sent) > 0)
+	checkLimit(t, "b1", 2, sent)
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -158,9 +158,9 @@
 	}
 	switch result {
 	case route.NotFound:
-		return x.unknown(problemNoRoute), true
+		return x.unlessOutdated(problemNoRoute), true
 	case route.MethodNotAllowed:
-		return x.unknown(problemMethod), true
+		return x.unlessOutdated(problemMethod), true
 	}
 	if open {
 		return problem{}, false
@@ -192,7 +192,7 @@
 	}
 	w, known := x.config.State.Workspace(state.HashKey(x.key))
 	if !known {
-		return x.unknown(problemUnknownKey), true
+		return x.unlessOutdated(problemUnknownKey), true
 	}
 	x.workspace = w
 	if strings.Contains(x.request.URL.Path, x.key) {
@@ -201,9 +201,9 @@
 	return problem{}, false
 }
 
-// unknown returns the problem of a request whose key or route is not in the configuration. If
-// the configuration may lack an accepted change, another VM may well know them.
-func (x *exchange) unknown(p problem) problem {
+// unlessOutdated returns the problem of a request whose key or route is not in the
+// configuration. If that may lack an accepted change, another VM may well know them.
+func (x *exchange) unlessOutdated(p problem) problem {
 	if err := x.handler.options.CurrentCheck(); err != nil {
 		return problemOutdated.withDetail(err.Error())
 	}
