Give back split votes for a lease while voters are lost

Cause: an owner gave its votes back only when so many voters had refused that it could not get a majority. Voters that are lost refuse nothing, so that two owners with two votes each of four kept theirs, renewed them at each tick and never got a third.

An owner that has got votes and refusals, but no majority after 150 ms, now takes the silent voters for lost, gives its votes back and backs off.

--- a/lease/holder.go
+++ b/lease/holder.go
@@ -13,6 +13,8 @@
 	// milliseconds, before the other one requests the lease again.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 300 * time.Millisecond
+	// undecidedAfter is the time after which voters that have not answered are taken for lost.
+	undecidedAfter = 150 * time.Millisecond
 )
 
 // Holder is an owner's state of its leases.
@@ -88,12 +90,46 @@
 			won = append(won, g.Name)
 		case h.isSplit(g.Name, r, now):
 			split = append(split, g.Name)
-			h.backoff[g.Name] = now.Add(minBackoff + rand.N(maxBackoff-minBackoff))
+			h.backOff(g.Name, now)
 		}
 	}
 	return won, split
 }
 
+// TakeUndecided returns those of the requested names for which voters have granted some of a
+// round, refused some, and the others do not answer. The caller must release the grants. While
+// voters are lost, two owners that kept them would never get a majority.
+func (h *Holder) TakeUndecided(names []string, now time.Time) []string {
+	var undecided []string
+	for _, name := range names {
+		if _, held := h.Held(name, now); !held && h.isUndecided(name, now) {
+			undecided = append(undecided, name)
+			h.backOff(name, now)
+		}
+	}
+	return undecided
+}
+
+// isUndecided reports whether the last round for a name that voters had time to answer got
+// grants and refusals, but no majority.
+func (h *Holder) isUndecided(name string, now time.Time) bool {
+	for seq := h.seq; seq > 0 && seq+maxRounds > h.seq; seq-- {
+		r, known := h.rounds[seq]
+		if !known || now.Sub(r.sent) < undecidedAfter {
+			continue
+		}
+		if grants, requested := r.grants[name]; requested {
+			return len(grants) > 0 && r.refused[name] > 0 && len(grants) <= len(r.voters)/2
+		}
+	}
+	return false
+}
+
+// backOff keeps an owner from requesting a name for a random time.
+func (h *Holder) backOff(name string, now time.Time) {
+	h.backoff[name] = now.Add(minBackoff + rand.N(maxBackoff-minBackoff))
+}
+
 // isSplit reports whether a round got some grants of a name but can get no majority.
 //
 // Entries that start at the same time know different members, so several of them may
--- a/lease/schedule_test.go
+++ b/lease/schedule_test.go
@@ -206,46 +206,71 @@
 // of them must win the lease within a second. Without the release of split votes each
 // owner keeps renewing its grants, and none gets a majority.
 func TestSplitVoteIsResolved(t *testing.T) {
+	for range 50 {
+		if wonAfter := resolveSplitVote(7); wonAfter == 0 || wonAfter > time.Second {
+			t.Fatalf("lease won after %s, want within 1 s", wonAfter)
+		}
+	}
+}
+
+// A data centre is lost with some of the voters, and with the holders of leases. The entries
+// that want them split the votes of the others; each kept its grants, since the lost voters
+// had not refused.
+func TestSplitVoteIsResolvedWhileVotersAreLost(t *testing.T) {
+	for _, alive := range []int{6, 5, 4} {
+		for range 50 {
+			if wonAfter := resolveSplitVote(alive); wonAfter == 0 || wonAfter > 2*time.Second {
+				t.Fatalf("%d of 7 voters alive: lease won after %s, want within 2 s", alive, wonAfter)
+			}
+		}
+	}
+}
+
+// resolveSplitVote returns the time after which one of three owners that have split the votes
+// wins a lease, or 0 if none does. The other ones of seven voters do not answer.
+func resolveSplitVote(alive int) time.Duration {
 	const voterCount, step = 7, 5 * time.Millisecond
 	var names []string
 	for i := range voterCount {
 		names = append(names, fmt.Sprint("v", i))
 	}
-	for range 50 {
-		var voters []*Voter
-		for range voterCount {
-			voters = append(voters, NewVoter(time.Time{}))
-		}
-		owners := []*Holder{NewHolder(), NewHolder(), NewHolder()}
-		start := time.Unix(9000, 0)
-		wonAfter := time.Duration(0)
-		for now := start; wonAfter == 0 && now.Sub(start) < 5*time.Second; now = now.Add(step) {
-			for i, owner := range owners {
-				id := Owner{VM: fmt.Sprint("o", i), Boot: 1}
-				if now.Sub(start)%Period != 0 || owner.BackingOff(scheduleName, now) {
-					continue
+	var voters []*Voter
+	for range alive {
+		voters = append(voters, NewVoter(time.Time{}))
+	}
+	owners := []*Holder{NewHolder(), NewHolder(), NewHolder()}
+	start := time.Unix(9000, 0)
+	for now := start; now.Sub(start) < 5*time.Second; now = now.Add(step) {
+		for i, owner := range owners {
+			id := Owner{VM: fmt.Sprint("o", i), Boot: 1}
+			release := func(split []string) {
+				seq := owner.Release(split)
+				for _, voter := range voters {
+					voter.Release(id, seq, split, now)
 				}
-				seq := owner.StartRound([]string{scheduleName}, names, now)
-				for v := range voterCount {
-					if now.Equal(start) && v%len(owners) != i {
-						continue // another owner's first request reached this voter earlier
-					}
-					_, split := owner.HandleAnswer(names[v], seq, voters[v].Acquire(id, seq, []string{scheduleName}, now), now)
-					if len(split) > 0 {
-						seq := owner.Release(split)
-						for _, voter := range voters {
-							voter.Release(id, seq, split, now)
-						}
-						break
-					}
+			}
+			if now.Sub(start)%Period != 0 || owner.BackingOff(scheduleName, now) {
+				continue
+			}
+			if undecided := owner.TakeUndecided([]string{scheduleName}, now); len(undecided) > 0 {
+				release(undecided)
+				continue
+			}
+			seq := owner.StartRound([]string{scheduleName}, names, now)
+			for v, voter := range voters {
+				if now.Equal(start) && v%len(owners) != i {
+					continue // another owner's first request reached this voter earlier
 				}
-				if _, held := owner.Held(scheduleName, now); held {
-					wonAfter = now.Sub(start)
+				_, split := owner.HandleAnswer(names[v], seq, voter.Acquire(id, seq, []string{scheduleName}, now), now)
+				if len(split) > 0 {
+					release(split)
+					break
 				}
 			}
-		}
-		if wonAfter == 0 || wonAfter > time.Second {
-			t.Fatalf("lease won after %s, want within 1 s", wonAfter)
+			if _, held := owner.Held(scheduleName, now); held {
+				return now.Sub(start)
+			}
 		}
 	}
+	return 0
 }
