Do not wait after a write to a connection that was closed on purpose

Cause: Reconnect, and a new address of a peer, close the connection while the write of an earlier message is about to return. The write then fails although the message has arrived, which was taken for an unreachable peer: the peer waited, and discarded what was queued meanwhile. A failure on a stream that is no longer the one in use does not wait, and does not close the new connection either.

--- a/link/peer.go
+++ b/link/peer.go
@@ -113,11 +113,15 @@
 				p.transport.dropped.Add(1)
 				continue
 			}
-			if p.send(q.message) {
+			sent, replaced := p.send(q.message)
+			if sent {
 				backoff = minBackoff
 				continue
 			}
 			p.transport.dropped.Add(1)
+			if replaced {
+				continue
+			}
 			p.waitBackoff(backoff)
 			backoff = min(2*backoff, maxBackoff)
 		}
@@ -146,17 +150,24 @@
 	}
 }
 
-// send writes one message to the peer's stream and reports whether it succeeded.
-func (p *peer) send(e *wire.Envelope) bool {
+// send writes one message to the peer's stream and reports whether it succeeded. If not,
+// replaced tells that the connection was closed or exchanged on purpose meanwhile, so that the
+// peer is not known to be unreachable.
+func (p *peer) send(e *wire.Envelope) (sent, replaced bool) {
 	stream, err := p.openStream()
 	if err != nil {
-		return false
+		return false, false
 	}
 	if err := p.write(stream, p.transport.withStamp(e)); err != nil {
-		p.dropSession()
-		return false
+		p.mu.Lock()
+		replaced = p.stream != stream
+		p.mu.Unlock()
+		if !replaced {
+			p.dropSession()
+		}
+		return false, replaced
 	}
-	return true
+	return true, false
 }
 
 func (p *peer) write(stream *yamux.Stream, e *wire.Envelope) error {
