End the reads of a link when its session shuts down

Cause: a yamux stream that waits in Read while its session shuts down polls without a pause until the session has closed its streams, which needs other goroutines to run first. When some hundred links to a cut data centre end at once, these reads use up the processor time of an entry for seconds: 0.1 cores from 10 to 22 s, nearly without allocations, while 120 readers were ready to run.

The connection of a session now ends the reads of its streams, with a deadline in the past, before it is closed. Ruled out: processor time of our own code (few allocations, no collection), the load of the machine (seen alone, too), and socket time-outs (an entry stood still without them as well).

--- a/link/peer.go
+++ b/link/peer.go
@@ -272,7 +272,8 @@
 		s := tlsConn.ConnectionState()
 		state, conn = &s, tlsConn
 	}
-	session, err := yamux.Client(conn, yamuxConfig())
+	sessionConn := newSessionConn(conn)
+	session, err := yamux.Client(sessionConn, yamuxConfig())
 	if err != nil {
 		conn.Close()
 		return nil, err
@@ -281,7 +282,7 @@
 	p.session, p.dialledHere, p.stream = session, true, nil
 	p.nextDialTimeout = minDialTimeout
 	p.mu.Unlock()
-	p.transport.goroutines.Go(func() { p.transport.serveSession(session, state, expectedName(p.vm)) })
+	p.transport.goroutines.Go(func() { p.transport.serveSession(session, sessionConn, state, expectedName(p.vm)) })
 	return session, nil
 }
 
--- a/link/transport.go
+++ b/link/transport.go
@@ -238,17 +238,18 @@
 		s := tlsConn.ConnectionState()
 		state, conn = &s, tlsConn
 	}
-	session, err := yamux.Server(conn, yamuxConfig())
+	sessionConn := newSessionConn(conn)
+	session, err := yamux.Server(sessionConn, yamuxConfig())
 	if err != nil {
 		conn.Close()
 		return
 	}
-	t.serveSession(session, state, "")
+	t.serveSession(session, sessionConn, state, "")
 }
 
 // serveSession reads all streams of a session until it ends. If name is empty, the peer's
 // name is taken from its hello.
-func (t *transport) serveSession(session *yamux.Session, state *tls.ConnectionState, name string) {
+func (t *transport) serveSession(session *yamux.Session, conn *sessionConn, state *tls.ConnectionState, name string) {
 	defer session.Close()
 	if !t.track(session) {
 		return
@@ -259,7 +260,10 @@
 		if err != nil {
 			return
 		}
-		t.goroutines.Go(func() { t.serveStream(session, stream, state, name) })
+		t.goroutines.Go(func() {
+			defer conn.add(stream)()
+			t.serveStream(session, stream, state, name)
+		})
 	}
 }
 
