Let only first attempts earn retries

Cause: the budget of a cell counted each placement as a request: retries, and requests that another cell had passed on after it had counted them. Where servers reject half of the requests, retries earned a seventh more retries. Those passed on were also charged twice, once in each cell.

The cell that a request reaches first does both. TestOnlyFirstAttemptsEarnRetries fails on the earlier code.

--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -185,9 +185,11 @@
 func (s *scheduler) place(req request, view poolView, now time.Time) placement {
 	s.sync(view, now)
 	s.observeRunning(now)
-	s.budget.Deposit()
+	if !req.arrived && !req.forwarded {
+		s.budget.Deposit()
+	}
 	s.backlog.arrived(now)
-	if req.arrived && !s.budget.Withdraw() {
+	if req.arrived && !req.forwarded && !s.budget.Withdraw() {
 		return placement{request: req, retryAfter: minRetryAfter}
 	}
 	view.belowFloor = s.belowFloor(view, now)
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -422,3 +422,26 @@
 		}
 	}
 }
+
+// Operators allow retries in proportion to the requests of callers. Retries, and requests that
+// another cell has passed on after counting them, are no further requests.
+func TestOnlyFirstAttemptsEarnRetries(t *testing.T) {
+	is := is.New(t)
+	view := poolView{ramp: func(string) *Ramp { return nil }, targets: []fleet.Target{{Name: "b1", Slots: 1000, Boot: 1}, {Name: "b2", Slots: 1000, Boot: 1}}}
+	const requests = 400
+	s := newScheduler(retry.Ratio(0.2), retry.Burst(1000))
+	now := startTime
+	place := func(id uint64, arrived, forwarded bool) bool {
+		return s.place(request{vm: "e1", id: id, idempotent: true, arrived: arrived, forwarded: forwarded, objective: now.Add(time.Second), deadline: now.Add(time.Minute)}, view, now).target != ""
+	}
+	for id := range uint64(requests) {
+		is.True(place(id, false, false))
+		is.True(place(requests+id, false, true))
+	}
+	is.True(place(3*requests, true, true)) // its own cell has charged it
+	retries := 0
+	for id := uint64(4 * requests); place(id, true, false); id++ {
+		retries++
+	}
+	is.Equal(retries, requests/5)
+}
