Let a nil throttle limit nothing, and do less for each commit and lease

Found while reading the change once more; behaviour stays as it is.

The nil throttle limits nothing now, as the nil pacer does not wait.
- Each commit of the leader copied the status of the node, also if no beacon is due; the time is compared first.
- The lease manager searched the undecided names for each requested one; the holder now separates them in one pass.
- One function words what an entry lacks, the state is loaded once at a tick, and the comment of lastBeacon covers the beacons of commits.

The tests keep their assertions; one call takes a second result.

--- a/ctrl/ctrl.go
+++ b/ctrl/ctrl.go
@@ -96,8 +96,8 @@
 	lastPush      time.Time
 	pushedIndex   uint64
 	beacon        *wire.Beacon
-	// lastBeacon is the time of the last read that was issued for a beacon;
-	// beaconToken identifies that read.
+	// lastBeacon is the time of the last read that was issued for a beacon, or of the commit
+	// that brought one; beaconToken identifies the read.
 	lastBeacon  time.Time
 	beaconToken uint64
 	leaderSince time.Time
--- a/ctrl/watch.go
+++ b/ctrl/watch.go
@@ -236,8 +236,11 @@
 // renewBeacon renews the leader's beacon with a committed entry of its own term: a majority has
 // just followed this leader. After an election entries need not wait for another round then.
 func (c *Control) renewBeacon(committed quorum.Entry, now time.Time) {
+	if now.Sub(c.lastBeacon) < beaconPeriod {
+		return
+	}
 	s := c.node.Status()
-	if s.Role != quorum.Leader || committed.Term != s.Term || now.Sub(c.lastBeacon) < beaconPeriod {
+	if s.Role != quorum.Leader || committed.Term != s.Term {
 		return
 	}
 	c.readToken++
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -131,8 +131,9 @@
 // different control VMs. Afterwards it sends requests until the first beacon of the control
 // leader arrives, without which this VM takes no part in leases.
 func (w *configWatcher) tickInitial(now time.Time) {
-	index := w.entry.State().Index()
-	w.entry.freshness.confirmState(w.entry.State(), now)
+	current := w.entry.State()
+	index := current.Index()
+	w.entry.freshness.confirmState(current, now)
 	if index > 0 && !w.entry.freshness.leaderNeverSeen() || w.receivingDelta(now) {
 		return
 	}
--- a/fresh/fresh.go
+++ b/fresh/fresh.go
@@ -134,12 +134,16 @@
 	if err := t.CheckServing(index, voters, now); err != nil {
 		return err
 	}
-	if len(t.pending) > 0 {
-		return fmt.Errorf("%w: accepted index is %d, local index is %d", ErrBehind, t.pending[len(t.pending)-1].index, index)
+	if n := len(t.pending); n > 0 {
+		return behind(t.pending[n-1].index, index)
 	}
 	return nil
 }
 
+func behind(accepted, local uint64) error {
+	return fmt.Errorf("%w: accepted index is %d, local index is %d", ErrBehind, accepted, local)
+}
+
 // LeaderSeenRecently reports whether a control leader was heard within HeartbeatTimeout.
 func (t *Tracker) LeaderSeenRecently(now time.Time) bool {
 	return !t.leaderAt.IsZero() && now.Sub(t.leaderAt) <= HeartbeatTimeout
@@ -161,7 +165,7 @@
 		t.pending = t.pending[1:]
 	}
 	if len(t.pending) > 0 && now.Sub(t.pending[0].at) > CatchUpTimeout {
-		return fmt.Errorf("%w: accepted index is %d, local index is %d", ErrBehind, t.pending[0].index, index)
+		return behind(t.pending[0].index, index)
 	}
 	return nil
 }
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -96,18 +96,20 @@
 	return won, split
 }
 
-// TakeUndecided returns those of the requested names for which voters have granted some of a
-// round, refused some, and the others do not answer. The caller must release the grants. While
-// voters are lost, two owners that kept them would never get a majority.
-func (h *Holder) TakeUndecided(names []string, now time.Time) []string {
-	var undecided []string
+// TakeUndecided separates those of the requested names for which voters have granted some of a
+// round, refused some, and the others do not answer. The caller must release their grants and
+// request the rest. While voters are lost, two owners that kept the grants would never get a
+// majority.
+func (h *Holder) TakeUndecided(names []string, now time.Time) (undecided, rest []string) {
 	for _, name := range names {
-		if _, held := h.Held(name, now); !held && h.isUndecided(name, now) {
-			undecided = append(undecided, name)
-			h.backOff(name, now)
+		if _, held := h.Held(name, now); held || !h.isUndecided(name, now) {
+			rest = append(rest, name)
+			continue
 		}
+		undecided = append(undecided, name)
+		h.backOff(name, now)
 	}
-	return undecided
+	return undecided, rest
 }
 
 // isUndecided reports whether the last round for a name that voters had time to answer got
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -101,10 +101,9 @@
 	if !m.stopping {
 		names = m.namesToRequest(now, members)
 	}
-	undecided := m.holder.TakeUndecided(names, now)
+	undecided, names := m.holder.TakeUndecided(names, now)
 	m.mu.Unlock()
 	m.release(undecided)
-	names = slices.DeleteFunc(names, func(name string) bool { return slices.Contains(undecided, name) })
 	for batch := range slices.Chunk(names, maxBatch) {
 		m.request(batch, voters, now)
 	}
--- a/lease/schedule_test.go
+++ b/lease/schedule_test.go
@@ -252,7 +252,7 @@
 			if now.Sub(start)%Period != 0 || owner.BackingOff(scheduleName, now) {
 				continue
 			}
-			if undecided := owner.TakeUndecided([]string{scheduleName}, now); len(undecided) > 0 {
+			if undecided, _ := owner.TakeUndecided([]string{scheduleName}, now); len(undecided) > 0 {
 				release(undecided)
 				continue
 			}
--- a/pool/holder.go
+++ b/pool/holder.go
@@ -237,7 +237,7 @@
 	}
 	best, free := "", 0
 	for name, r := range h.ramps {
-		available := min(r.Limit(now)-r.InUse(now), h.scheduler.withinLimit(name, now))
+		available := min(r.Limit(now)-r.InUse(now), h.scheduler.throttle(name).available(now))
 		if available > free || available == free && available > 0 && name < best {
 			best, free = name, available
 		}
@@ -245,7 +245,7 @@
 	if best == "" || !h.ramps[best].Grant(now) {
 		return "", false
 	}
-	h.scheduler.useLimit(best, now)
+	h.scheduler.throttle(best).take(now)
 	return best, true
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -151,11 +151,11 @@
 	var reports []health.Report
 	for name, s := range cs.servers {
 		oldestWait := s.oldestWait(now)
-		unlimited := s.reportedLimit.Stated == health.LimitUnstated
-		if s.stats.Total()+s.stats.Late == 0 && !s.cold && oldestWait < urgentWait && unlimited {
+		limitChanged := s.reportedLimit.Stated != health.LimitUnstated
+		if s.stats.Total()+s.stats.Late == 0 && !s.cold && oldestWait < urgentWait && !limitChanged {
 			continue
 		}
-		urgent = urgent || s.stats.Bad()+s.stats.Late > 0 || s.cold || oldestWait >= urgentWait || !unlimited
+		urgent = urgent || s.stats.Bad()+s.stats.Late > 0 || s.cold || oldestWait >= urgentWait || limitChanged
 		reports = append(reports, health.Report{
 			Target: name, Stats: s.stats, Cold: s.cold, Limit: s.reportedLimit, Oldest: oldestWait, InFlight: len(s.inFlight),
 		})
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -241,9 +241,7 @@
 		a.ramping = true
 		srv.ramp.Grant(now)
 	}
-	if srv.throttle != nil {
-		srv.throttle.take(now)
-	}
+	srv.throttle.take(now)
 	srv.lastAssigned = now
 	srv.inUse++
 	s.assignments[req.key()] = a
@@ -342,7 +340,7 @@
 	}
 	s.release(key, a)
 	a.server.recordLimit(r.Limit, a.since, now)
-	if r.Kind == "" && a.server.throttle != nil {
+	if r.Kind == "" {
 		a.server.throttle.giveBack()
 	}
 	if r.Kind == health.OK || r.Kind == health.Failed {
--- a/pool/server.go
+++ b/pool/server.go
@@ -46,11 +46,7 @@
 
 // freeSlots returns the number of requests that the server can be sent at once, if it works.
 func (srv *server) freeSlots(now time.Time) int {
-	free := max(0, srv.slots-srv.inUse)
-	if srv.throttle != nil {
-		free = min(free, srv.throttle.available(now))
-	}
-	return free
+	return min(max(0, srv.slots-srv.inUse), srv.throttle.available(now))
 }
 
 // servedPerSecond returns the requests per second that the server takes while all its slots
@@ -67,7 +63,7 @@
 // estimate. Ejections are decided by the failure detector, within the floor. A server whose
 // limit leaves no request is not overdue: it gets what it asks for.
 func (srv *server) overdue(now time.Time) bool {
-	return now.Sub(srv.lastAssigned) >= maxIdle && (srv.throttle == nil || srv.throttle.available(now) > 0)
+	return now.Sub(srv.lastAssigned) >= maxIdle && srv.throttle.available(now) > 0
 }
 
 const (
--- a/pool/throttle.go
+++ b/pool/throttle.go
@@ -31,7 +31,8 @@
 // The load it answers: a server in need, or all servers of a pool, ask for a few requests per
 // second while callers send many times that. Every assignment to the server takes a token,
 // also retries, probes and those that keep the floor. A request that finds none goes to
-// another server, waits or is rejected like one that finds no free slot.
+// another server, waits or is rejected like one that finds no free slot. The nil throttle
+// limits nothing.
 type throttle struct {
 	// perSecond is the limit, namedAt the time at which an answer last named it.
 	perSecond float64
@@ -58,17 +59,26 @@
 
 // available returns the number of requests that may be sent now.
 func (t *throttle) available(now time.Time) int {
+	if t == nil {
+		return math.MaxInt
+	}
 	t.refill(now)
 	return int(t.tokens)
 }
 
 func (t *throttle) take(now time.Time) {
-	t.refill(now)
-	t.tokens--
+	if t != nil {
+		t.refill(now)
+		t.tokens--
+	}
 }
 
 // giveBack returns the token of a request that was not sent.
-func (t *throttle) giveBack() { t.tokens++ }
+func (t *throttle) giveBack() {
+	if t != nil {
+		t.tokens++
+	}
+}
 
 // name sets the limit that an answer names.
 func (t *throttle) name(perSecond float64, now time.Time) {
@@ -109,19 +119,12 @@
 	return limits
 }
 
-// withinLimit returns the number of requests that the limit of a server leaves.
-func (s *scheduler) withinLimit(name string, now time.Time) int {
-	if srv := s.byName[name]; srv != nil && srv.throttle != nil {
-		return srv.throttle.available(now)
-	}
-	return math.MaxInt
-}
-
-// useLimit counts a request that an entry may send to a server with a permit.
-func (s *scheduler) useLimit(name string, now time.Time) {
-	if srv := s.byName[name]; srv != nil && srv.throttle != nil {
-		srv.throttle.take(now)
+// throttle returns the throttle of a server, which is nil if it names no limit.
+func (s *scheduler) throttle(name string) *throttle {
+	if srv := s.byName[name]; srv != nil {
+		return srv.throttle
 	}
+	return nil
 }
 
 // reportLimit records a limit that an entry saw on the answer to a request that it had sent by
