Identify a request among all entries in its log lines

The log could not tell which request ended a backend server: each copy of a request has an id of its own. Lines of attempts and of refusals carry a fingerprint of workspace, method, host, path with query and body now. The start of a streamed body, 4 KB, stands for it; if that does not arrive within 50 ms, the request has none.

--- a/proxy/body.go
+++ b/proxy/body.go
@@ -1,11 +1,13 @@
 package proxy
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -14,11 +16,13 @@
 // they can be sent again.
 type requestBody struct {
 	buffer []byte
-	stream io.ReadCloser
+	stream *peekedBody
 	length int64
 	// consumed is set once any part of the stream has been read.
 	consumed atomic.Bool
 	deadline *requestDeadline
+	// head is the start of a streamed body, nil if it did not arrive in time.
+	head []byte
 }
 
 // newRequestBody returns the body of a request and buffers it if it is small.
@@ -29,7 +33,7 @@
 		return b, nil
 	}
 	if r.ContentLength < 0 || r.ContentLength > maxBufferBytes {
-		b.stream = r.Body
+		b.peek(r.Context(), r.Body)
 		return b, nil
 	}
 	paced := &pacedReader{ctx: r.Context(), reader: r.Body, pacer: received}
@@ -44,6 +48,48 @@
 	return b, nil
 }
 
+const (
+	// headBytes is the part of a streamed body that identifies it, together with its length.
+	headBytes = 4 << 10
+	// maxHeadWait limits the wait for it. A caller may want an answer before it sends more.
+	maxHeadWait = 50 * time.Millisecond
+)
+
+// peek waits, for a limited time, for the start of a body that is streamed.
+func (b *requestBody) peek(ctx context.Context, body io.ReadCloser) {
+	reader := bufio.NewReaderSize(body, headBytes)
+	peeked := make(chan []byte, 1)
+	b.stream = &peekedBody{reader: reader, Closer: body, peeked: make(chan struct{})}
+	go func() {
+		defer close(b.stream.peeked)
+		if head, err := reader.Peek(headBytes); err == nil || err == io.EOF {
+			peeked <- head
+		}
+	}()
+	timer := time.NewTimer(maxHeadWait)
+	defer timer.Stop()
+	select {
+	case head := <-peeked:
+		b.head = bytes.Clone(head)
+	case <-b.stream.peeked:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// peekedBody reads a body whose start has been peeked at.
+type peekedBody struct {
+	io.Closer
+	reader *bufio.Reader
+	// peeked is closed when the start has arrived.
+	peeked chan struct{}
+}
+
+func (p *peekedBody) Read(data []byte) (int, error) {
+	<-p.peeked
+	return p.reader.Read(data)
+}
+
 // replayable reports whether the body can be sent again from its start.
 func (b *requestBody) replayable() bool { return b.stream == nil || !b.consumed.Load() }
 
--- a/proxy/log.go
+++ b/proxy/log.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/dottereldeal/dottereldeal/guard"
 	"github.com/dottereldeal/dottereldeal/health"
 )
 
@@ -29,7 +30,7 @@
 
 // attrs returns the attributes that identify the request and its configuration.
 func (x *exchange) attrs() []slog.Attr {
-	attrs := make([]slog.Attr, 0, 12)
+	attrs := make([]slog.Attr, 0, 13)
 	if name := x.handler.options.Headers.RequestID; name != "" {
 		attrs = append(attrs, slog.String("request", x.request.Header.Get(name)))
 	}
@@ -39,6 +40,9 @@
 	if x.workspace != nil {
 		attrs = append(attrs, slog.String("workspace", x.workspace.Name))
 	}
+	if x.print != (guard.Print{}) {
+		attrs = append(attrs, slog.String("print", x.print.String()))
+	}
 	return append(attrs, slog.Uint64("state", x.config.State.Index()),
 		slog.Duration("age", x.handler.options.Clock.Now().Sub(x.receivedAt)))
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -27,6 +27,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/dottereldeal/dottereldeal/claim"
+	"github.com/dottereldeal/dottereldeal/guard"
 	"github.com/dottereldeal/dottereldeal/retry"
 	"github.com/dottereldeal/dottereldeal/route"
 	"github.com/dottereldeal/dottereldeal/state"
@@ -98,6 +99,8 @@
 	pool       string
 	receivedAt time.Time
 	body       *requestBody
+	// print identifies the request among all entries.
+	print guard.Print
 }
 
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -268,6 +271,7 @@
 		return
 	}
 	x.body = body
+	x.print = x.fingerprint()
 	x.pool = route.SelectPool(x.route, rand.Float64())
 	if !body.buffered() {
 		// Without full duplex, the HTTP/1 server of net/http discards the rest of the
@@ -287,6 +291,21 @@
 	x.sendResponse(ctx, response, deadline)
 }
 
+// fingerprint returns what identifies the request among all entries, or the zero value if too
+// little of its body has arrived yet.
+func (x *exchange) fingerprint() guard.Print {
+	workspace, body := "", x.body.buffer
+	if x.workspace != nil {
+		workspace = x.workspace.Name
+	}
+	if !x.body.buffered() {
+		if body = x.body.head; body == nil {
+			return guard.Print{}
+		}
+	}
+	return guard.PrintOf(workspace, x.request.Method, x.request.Host, x.request.URL.RequestURI(), x.body.length, body)
+}
+
 // IdempotencyHeader is the header with the key that identifies repeated sends of a request.
 const IdempotencyHeader = "Idempotency-Key"
 
