Put requests that crash backend servers in quarantine

Cause: a retry asks whether a request may run again. Nothing counted what the request had done to servers, over attempts, hedges, entries and repeats.

The holder of a cell, which knows what ran on a server when it ended, keeps the evidence (package guard). A broken connection makes all requests that ran there suspects; a complete answer, or a later answer of the same server, clears them. Copies of a suspect run one at a time. After two crashes in a row all entries refuse the request unsent, for a minute at first. Evidence is published with the status of the cell.

--- a/entry/status.go
+++ b/entry/status.go
@@ -49,6 +49,8 @@
 		admin.Status(func() any { return e.status() }),
 		admin.EventLog(e.options.EventLog),
 		admin.Meter(e.options.Meter),
+		admin.Handle("GET /v1/quarantine", e.listQuarantine),
+		admin.Handle("DELETE /v1/quarantine/{print}", e.releaseRequest),
 	}
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -60,6 +60,8 @@
 	TargetUnlimited    Kind = "target-unlimited"
 	Ejected            Kind = "ejected"
 	Readmitted         Kind = "readmitted"
+	RequestQuarantined Kind = "request-quarantined"
+	RequestReleased    Kind = "request-released"
 	EjectionRefused    Kind = "ejection-refused"
 	DataCentreOut      Kind = "data-centre-out"
 	DataCentreIn       Kind = "data-centre-in"
--- a/fake/fake.go
+++ b/fake/fake.go
@@ -50,6 +50,8 @@
 	TruncateRate float64
 	// Refuse closes connections at once.
 	Refuse bool
+	// CrashPath ends the server when a request with this path has begun to run.
+	CrashPath string
 	// From limits the fault to requests from these entries; empty means all.
 	From []string
 }
@@ -74,6 +76,7 @@
 	maxActive     atomic.Int64
 	runCount      atomic.Uint64
 	leakedKeys    atomic.Uint64
+	crashed       atomic.Bool
 	// arrivals counts requests, and connections that a fault refused.
 	arrivals atomic.Uint64
 
@@ -171,6 +174,17 @@
 	}
 }
 
+// crash ends the server like a process that crashes: all connections break.
+func (s *Server) crash() {
+	s.crashed.Store(true)
+	s.cancel()
+	s.http.Close()
+	panic(http.ErrAbortHandler)
+}
+
+// Crashed reports whether a request has ended the server.
+func (s *Server) Crashed() bool { return s.crashed.Load() }
+
 // Stop closes the server without draining requests.
 func (s *Server) Stop() {
 	s.cancel()
@@ -249,6 +263,9 @@
 func (s *Server) run(w http.ResponseWriter, r *http.Request, body []byte) {
 	s.recordRun(r.Header.Get(RequestIDHeader))
 	fault := s.fault.Load()
+	if fault.CrashPath != "" && r.URL.Path == fault.CrashPath {
+		s.crash()
+	}
 	if fault.Hang {
 		select {
 		case <-r.Context().Done():
--- a/guard/print.go
+++ b/guard/print.go
@@ -4,13 +4,12 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"strings"
 
 	"github.com/go-faster/errors"
 )
 
-// Print is the fingerprint of a request: a digest of its workspace, method, host, path with
-// query, and body. Copies of a request have the same one at every entry. The zero value stands
+// Print is the fingerprint of a request: a digest of its workspace, method, path with query,
+// and body. Copies of a request have the same one at every entry. The zero value stands
 // for a request that cannot be identified.
 type Print [16]byte
 
@@ -19,10 +18,10 @@
 
 // PrintOf returns the fingerprint of a request. Of a long body, length and start are enough;
 // length is -1 if it is not known.
-func PrintOf(workspace, method, host, uri string, length int64, body []byte) Print {
+func PrintOf(workspace, method, uri string, length int64, body []byte) Print {
 	hash := sha256.New()
 	buffer := make([]byte, 0, 256)
-	for _, field := range []string{workspace, method, strings.ToLower(host), uri} {
+	for _, field := range []string{workspace, method, uri} {
 		buffer = binary.AppendUvarint(buffer, uint64(len(field)))
 		buffer = append(buffer, field...)
 	}
--- a/health/health.go
+++ b/health/health.go
@@ -42,4 +42,6 @@
 	Cold bool
 	// Limit is what the response says about the requests that the backend server takes.
 	Limit Limit
+	// Label names the request for operators, if its connection broke.
+	Label string
 }
--- /dev/null
+++ b/local/crash_test.go
@@ -0,0 +1,116 @@
+package local_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dottereldeal/dottereldeal/entry"
+	"github.com/dottereldeal/dottereldeal/fake"
+	"github.com/dottereldeal/dottereldeal/local"
+	"github.com/dottereldeal/dottereldeal/pool"
+	"github.com/dottereldeal/dottereldeal/state"
+)
+
+// One request crashed server after server, because each copy of it was new to each entry.
+func TestRequestThatCrashesServersIsQuarantinedOnAllEntries(t *testing.T) {
+	for _, placement := range []pool.PlacementMode{pool.PlacementHolder, pool.PlacementLocal} {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			t.Run(fmt.Sprint(placement, method), func(t *testing.T) { testCrashingRequest(t, placement, method) })
+		}
+	}
+}
+
+func testCrashingRequest(t *testing.T, placement pool.PlacementMode, method string) {
+	is := is.New(t)
+	f, err := local.Start(local.Controls(1), local.Entries(3, "d1"), local.Folder(t.TempDir()), local.EntryOptions(entry.Placement(placement)))
+	is.NoErr(err)
+	defer f.Stop()
+	var servers []*fake.Server
+	for i := range 12 {
+		server, err := fake.New(fake.Name(fmt.Sprint("b", i)), fake.Pool("p"), fake.DataCentre("d1"), fake.AnnounceURLs(f.AnnounceURLs()...))
+		is.NoErr(err)
+		defer server.Stop()
+		server.SetFault(fake.Fault{CrashPath: "/deadly"})
+		servers = append(servers, server)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	_, err = f.ApplyTicket(ctx, 1, fmt.Sprintf(`number: 1
+workspaces: [{name: east, rate: 1000, burst: 1000, key-digests: [%q]}]
+pools: [{name: p, floor: 0.5}]
+routes: [{name: r, path-prefix: /, pool: p, idempotent: %t, deadline: 2s}]
+lease-voters: [e1, e2, e3]
+`, state.HashKey("key-east"), method == http.MethodGet))
+	is.NoErr(err)
+	s := newTestEnv()
+	s.fleet = f
+	for _, e := range f.Entries {
+		for {
+			result, err := s.send(ctx, e.VM, method, "/well", "key-east")
+			is.NoErr(err)
+			if result.status == http.StatusOK {
+				break
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	refused := 0
+	for i := range 20 {
+		request, err := http.NewRequestWithContext(ctx, method, f.Entries[i%3].Callers+"/deadly", nil)
+		is.NoErr(err)
+		request.Header.Set("Authorization", "Bearer key-east")
+		response, err := s.client.Do(request)
+		is.NoErr(err)
+		response.Body.Close()
+		if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Dottereldeal-Outcome") == "not-run" {
+			refused++
+			is.True(response.Header.Get("Retry-After") != "")
+		}
+		time.Sleep(150 * time.Millisecond) // local choices are reported ten times a second
+	}
+	crashed := 0
+	for _, server := range servers {
+		if server.Crashed() {
+			crashed++
+		}
+	}
+	is.True(refused >= 15)
+	is.True(crashed <= 3) // the rule allows the third crash; two are enough where one holder places all
+	is.NoErr(s.expectStatus(http.StatusOK, "e1", method, "/well", "key-east"))
+
+	// An operator lists the request and releases it.
+	var listed []struct {
+		Print   string   `json:"print"`
+		Request string   `json:"request"`
+		Servers []string `json:"backend-servers"`
+		Left    float64  `json:"left-seconds"`
+	}
+	response, err := http.Get(f.Entries[0].Admin + "/v1/quarantine")
+	is.NoErr(err)
+	is.NoErr(json.NewDecoder(response.Body).Decode(&listed))
+	response.Body.Close()
+	is.True(len(listed) > 0)
+	is.Equal(listed[0].Request, method+" /deadly")
+	is.True(listed[0].Left > 0)
+	release, err := http.NewRequest(http.MethodDelete, f.Entries[0].Admin+"/v1/quarantine/"+listed[0].Print, nil)
+	is.NoErr(err)
+	response, err = http.DefaultClient.Do(release)
+	is.NoErr(err)
+	response.Body.Close()
+	is.Equal(response.StatusCode, http.StatusNoContent)
+	for _, server := range servers {
+		server.SetFault(fake.Fault{})
+	}
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		if err = s.expectStatus(http.StatusOK, "e2", method, "/deadly", "key-east"); err == nil || time.Now().After(end) {
+			break
+		}
+	}
+	is.NoErr(err)
+}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/dottereldeal/dottereldeal/fleet"
+	"github.com/dottereldeal/dottereldeal/guard"
 	"github.com/dottereldeal/dottereldeal/health"
 )
 
@@ -24,6 +25,20 @@
 // ErrRetryBudget means that the retry budget is exhausted.
 var ErrRetryBudget = errors.New("retry budget exhausted")
 
+// QuarantineError means that the request is in quarantine, because backend servers crashed
+// while they ran copies of it.
+type QuarantineError struct {
+	// Left is the rest of the quarantine.
+	Left time.Duration
+}
+
+func (e *QuarantineError) Error() string {
+	return "backend servers crashed while they ran this request"
+}
+
+// Unwrap returns ErrNoServer.
+func (e *QuarantineError) Unwrap() error { return ErrNoServer }
+
 // Request holds the properties of a request that a choice depends on.
 type Request struct {
 	// Avoid names the backend servers that earlier attempts used.
@@ -42,6 +57,16 @@
 	Objective time.Duration
 	// Timeout is the time until the request is abandoned, 0 if only the context limits it.
 	Timeout time.Duration
+	// Print identifies the request among all entries, Label names it for operators.
+	Print guard.Print
+	Label string
+	// Hedge is set if another attempt of the request is running.
+	Hedge bool
+}
+
+// Suspect returns the request as a suspect, in case that it crashes its server.
+func (r Request) Suspect() guard.Suspect {
+	return guard.Suspect{Print: r.Print, Workspace: r.Workspace, Label: r.Label}
 }
 
 // Choice is a backend server that a request may be sent to. Done must be called once.
--- a/pool/cost.go
+++ b/pool/cost.go
@@ -32,10 +32,14 @@
 	entry  int
 	// impaired is set if the entry has a failure on some path.
 	impaired bool
+	// suspect is set if the request may crash its server.
+	suspect bool
 }
 
 func (s *scheduler) sender(req request, now time.Time) sender {
-	return sender{moment: s.model.At(now), entry: s.entry(req.vm), impaired: s.paths.entryImpaired(req.vm, now)}
+	return sender{
+		moment: s.model.At(now), entry: s.entry(req.vm), impaired: s.paths.entryImpaired(req.vm, now), suspect: s.guard.Suspected(req.print),
+	}
 }
 
 // cost returns the cost of sending a request to a server: the probability of failure plus
@@ -48,6 +52,9 @@
 		gray = max(gray, ejectedGray)
 	}
 	load := loadCost*float64(srv.inUse)/float64(max(1, srv.slots)) + shedCost*srv.shedShare(now) + s.networkCost(req, from, srv, view, now)
+	if from.suspect {
+		load += suspectCost * float64(srv.inUse) / float64(max(1, srv.slots))
+	}
 	overdue := srv.overdue(now)
 	if !req.idempotent || len(req.avoid) > 0 {
 		// Retries use the safest server instead of an overdue one.
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -47,6 +47,7 @@
 		}
 		b.sendAnswer(placed.request.vm, &wire.SlotAnswer{
 			Pool: cell, Id: placed.request.id, Target: placed.target, Queued: placed.queued, RetryMicros: uint64(placed.retryAfter.Microseconds()),
+			Quarantined: placed.quarantined,
 		})
 	}
 }
@@ -74,7 +75,7 @@
 func (b *Balancer) receiveSlotDone(from string, m *wire.SlotDone, now time.Time) {
 	result := health.Result{
 		Kind: health.Kind(m.GetResult()), Latency: time.Duration(m.GetLatencyMicros()) * time.Microsecond, Cold: m.GetCold(),
-		Limit: limitOfWire(m.GetLimit()),
+		Limit: limitOfWire(m.GetLimit()), Label: m.GetLabel(),
 	}
 	b.mu.Lock()
 	h := b.localHolder(m.GetPool())
--- a/pool/holder.go
+++ b/pool/holder.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dottereldeal/dottereldeal/fleet"
+	"github.com/dottereldeal/dottereldeal/guard"
 	"github.com/dottereldeal/dottereldeal/health"
 	"github.com/dottereldeal/dottereldeal/retry"
 	"github.com/dottereldeal/dottereldeal/state"
@@ -42,11 +43,15 @@
 	warmed map[string]uint64
 	// limits holds the requests per second of the targets that name a limit.
 	limits map[string]float64
+	// suspects may crash the targets that run them; cleared are suspects of other cells that
+	// were answered here.
+	suspects []guard.Suspect
+	cleared  []guard.Print
 }
 
 func (s status) equal(other status) bool {
 	return slices.Equal(s.ejected, other.ejected) && slices.Equal(s.cold, other.cold) && maps.Equal(s.warmed, other.warmed) &&
-		maps.Equal(s.limits, other.limits)
+		maps.Equal(s.limits, other.limits) && sameSuspects(s.suspects, other.suspects) && slices.Equal(s.cleared, other.cleared)
 }
 
 // sameLimited reports whether the same targets name a limit.
@@ -60,6 +65,12 @@
 	return s
 }
 
+// withSuspects returns a copy of the status with other suspects.
+func (s status) withSuspects(suspects []guard.Suspect) status {
+	s.suspects = suspects
+	return s
+}
+
 // withEjected returns a copy of the status with other ejected servers.
 func (s status) withEjected(names []string) status {
 	s.ejected = names
@@ -111,7 +122,14 @@
 	if next.sameLimited(h.published) {
 		urgent = urgent.withLimits(h.published.limits)
 	}
-	if urgent.equal(h.published) && now.Sub(h.publishedAt) < publishInterval {
+	interval := publishInterval
+	if sameSuspects(inQuarantine(next.suspects), inQuarantine(h.published.suspects)) {
+		if !sameSuspects(next.suspects, h.published.suspects) {
+			interval = suspectsInterval
+		}
+		urgent = urgent.withSuspects(h.published.suspects)
+	}
+	if urgent.equal(h.published) && now.Sub(h.publishedAt) < interval {
 		return false
 	}
 	h.published, h.publishedAt = next, now
@@ -162,7 +180,7 @@
 		delete(h.ramps, e.Target)
 	}
 	h.refreshView()
-	return h.status(), decision
+	return h.status(now), decision
 }
 
 // startColdRamp starts the ramp of a backend server that announces that it is cold.
@@ -208,7 +226,7 @@
 	return n
 }
 
-func (h *holder) status() status {
+func (h *holder) status(now time.Time) status {
 	s := status{warmed: maps.Clone(h.warmed), limits: h.scheduler.limits()}
 	for _, e := range h.detector.Ejected() {
 		s.ejected = append(s.ejected, e.Target)
@@ -217,6 +235,7 @@
 		s.cold = append(s.cold, name)
 	}
 	slices.Sort(s.cold)
+	s.suspects, s.cleared = h.scheduler.guard.List(h.scheduler.cell, now)
 	return s
 }
 
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -15,6 +15,9 @@
 // or it does not answer, Pick chooses locally: a warm server, or a cold one for which
 // a permit is available. If there are only cold servers, it waits for a permit.
 func (b *Balancer) Pick(ctx context.Context, pool string, r pick.Request) (pick.Choice, error) {
+	if err := b.quarantined(r); err != nil {
+		return pick.Choice{}, err
+	}
 	if choice, err, ok := b.requestSlot(ctx, pool, r); ok {
 		return choice, err
 	}
@@ -60,7 +63,7 @@
 	if name, ok := cs.permits.take(now); ok {
 		for _, t := range cold {
 			if t.Name == name && !slices.Contains(r.Avoid, name) {
-				return b.newChoice(cs, t, true, now), nil, true
+				return b.newChoice(cs, t, r, true, now), nil, true
 			}
 		}
 		cs.permits.unused = append(cs.permits.unused, name)
@@ -70,7 +73,7 @@
 	warm = cs.withoutFailing(warm, settings.Floor, now)
 	warm, limited := cs.withinLimits(warm, b.limitShare(), now)
 	if len(limited) > 0 {
-		return b.newChoice(cs, limited[0], false, now), nil, true
+		return b.newChoice(cs, limited[0], r, false, now), nil, true
 	}
 	if len(warm) == 0 {
 		if len(cold) > 0 && len(r.Avoid) == 0 {
@@ -78,7 +81,7 @@
 		}
 		return pick.Choice{}, nil, false
 	}
-	return b.newChoice(cs, cs.lessLoaded(warm), false, now), nil, true
+	return b.newChoice(cs, cs.lessLoaded(warm), r, false, now), nil, true
 }
 
 // splitCold separates the backend servers for which a request needs a permit.
@@ -167,11 +170,14 @@
 }
 
 // newChoice adds a request in flight and returns the choice of its backend server.
-func (b *Balancer) newChoice(cs *cellState, t fleet.Target, permitted bool, now time.Time) pick.Choice {
+func (b *Balancer) newChoice(cs *cellState, t fleet.Target, req pick.Request, permitted bool, now time.Time) pick.Choice {
 	b.lastID++
 	id := b.lastID
 	cs.server(t.Name).inFlight[id] = now
-	return pick.Choice{Target: t, Done: func(r health.Result) { b.finish(cs, t.Name, id, permitted, r) }}
+	return pick.Choice{Target: t, Done: func(r health.Result) {
+		b.finish(cs, t.Name, id, permitted, r)
+		b.recordLocalEvidence(cs, req, t, r.Kind, now)
+	}}
 }
 
 // finish records the result of a request.
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -82,7 +82,7 @@
 	} else {
 		b.link.Send(holder, &wire.Envelope{Body: &wire.Envelope_SlotAsk{SlotAsk: m}})
 	}
-	return b.awaitSlot(ctx, m, waiting)
+	return b.awaitSlot(ctx, m, waiting, r)
 }
 
 // cellToAsk returns the first cell of a pool whose holder is known and has not just failed.
@@ -122,14 +122,14 @@
 	now := b.options.Clock.Now()
 	return request{
 		id: id, dataCentre: b.options.DataCentre, idempotent: r.Idempotent, rank: r.Rank, workspace: r.Workspace,
-		avoid: r.Avoid, arrived: r.Arrived, bytes: r.Bytes, objective: now.Add(objective), deadline: now.Add(remaining),
+		print: r.Print, hedge: r.Hedge, avoid: r.Avoid, arrived: r.Arrived, bytes: r.Bytes, objective: now.Add(objective), deadline: now.Add(remaining),
 	}.wire(cell, now)
 }
 
 // awaitSlot waits for the decision of the holder. It reports false, so that this VM chooses
 // locally, if the holder does not answer in time, or is lost while the request is in its
 // queue.
-func (b *Balancer) awaitSlot(ctx context.Context, m *wire.SlotAsk, w *pendingRequest) (pick.Choice, error, bool) {
+func (b *Balancer) awaitSlot(ctx context.Context, m *wire.SlotAsk, w *pendingRequest, r pick.Request) (pick.Choice, error, bool) {
 	timer := time.NewTimer(holderTimeout)
 	defer timer.Stop()
 	queued := false
@@ -147,10 +147,12 @@
 				queued = true
 				timer.Reset(holderTimeout)
 				continue
+			case answer.GetQuarantined():
+				return pick.Choice{}, &pick.QuarantineError{Left: time.Duration(answer.GetRetryMicros()) * time.Microsecond}, true
 			case answer.GetTarget() == "":
 				return pick.Choice{}, &OverloadError{RetryAfter: time.Duration(answer.GetRetryMicros()) * time.Microsecond}, true
 			}
-			choice, ok := b.acceptSlot(w.cell, w.holder, m.GetId(), answer.GetTarget())
+			choice, ok := b.acceptSlot(w.cell, w.holder, m.GetId(), answer.GetTarget(), r.Label)
 			return choice, nil, ok
 		case <-timer.C:
 			if queued && b.stillHolds(w.cell, w.holder) {
@@ -177,7 +179,7 @@
 
 // acceptSlot uses the backend server that the holder has assigned. If this VM does not
 // know the server yet, or knows that it must not be used, the slot is released.
-func (b *Balancer) acceptSlot(cell, holder string, id uint64, name string) (pick.Choice, bool) {
+func (b *Balancer) acceptSlot(cell, holder string, id uint64, name, label string) (pick.Choice, bool) {
 	t, known := b.target(cell, name)
 	if !known || !pick.IsEligible(t, b.options.State()) {
 		b.releaseSlot(cell, holder, id, health.Result{})
@@ -185,6 +187,9 @@
 	}
 	return pick.Choice{Target: t, RetryCounted: true, Done: func(r health.Result) {
 		b.finishPlaced(cell, t.Name, r)
+		if r.Kind == health.Torn {
+			r.Label = label
+		}
 		b.releaseSlot(cell, holder, id, r)
 	}}, true
 }
@@ -204,7 +209,7 @@
 // releaseSlot reports the result of a request to the holder, which frees its slot. An
 // empty result means that the request was not sent.
 func (b *Balancer) releaseSlot(cell, holder string, id uint64, r health.Result) {
-	m := &wire.SlotDone{Pool: cell, Id: id, Result: string(r.Kind), LatencyMicros: uint64(r.Latency.Microseconds()), Cold: r.Cold, Limit: limitToWire(r.Limit)}
+	m := &wire.SlotDone{Pool: cell, Id: id, Result: string(r.Kind), LatencyMicros: uint64(r.Latency.Microseconds()), Cold: r.Cold, Limit: limitToWire(r.Limit), Label: r.Label}
 	if holder == b.options.VM {
 		b.receiveSlotDone(holder, m, b.options.Clock.Now())
 		return
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -25,6 +25,7 @@
 
 	"github.com/dottereldeal/dottereldeal/event"
 	"github.com/dottereldeal/dottereldeal/fleet"
+	"github.com/dottereldeal/dottereldeal/guard"
 	"github.com/dottereldeal/dottereldeal/health"
 	"github.com/dottereldeal/dottereldeal/lease"
 	"github.com/dottereldeal/dottereldeal/link"
@@ -59,6 +60,8 @@
 	lastID     uint64
 	// pending holds the slot requests that wait for the answer of a holder, by ID.
 	pending map[uint64]*pendingRequest
+	// guard knows the requests that may crash servers.
+	guard *guard.Table
 }
 
 // cellState is what this VM knows about one cell.
@@ -69,6 +72,9 @@
 	latency    latencyStats
 	lastReport time.Time
 	permits    permits
+	// torn and cleared are the evidence for the next report to the holder.
+	torn    []*wire.TornRequest
+	cleared []guard.Print
 }
 
 // New returns the balancer of an entry. Tick must be called every Period.
@@ -76,6 +82,7 @@
 	b := &Balancer{
 		options: newOptions(opts...), link: l, fleet: f, leases: leases,
 		cellStates: make(map[string]*cellState), holders: make(map[string]*holder), pending: make(map[uint64]*pendingRequest),
+		guard: guard.New(),
 	}
 	f.Watch(fleet.KindEjection, b.updateStatus)
 	return b
@@ -119,26 +126,34 @@
 		limits[l.GetName()] = l.GetPerSecond()
 	}
 	cs := b.cellState(item.Key.Name)
+	now := b.options.Clock.Now()
 	cs.status = next
-	cs.publishLimits(limits, b.options.Clock.Now())
+	cs.publishLimits(limits, now)
+	if _, held := b.leases.Held(LeaseName(item.Key.Name)); !held {
+		b.guard.Import(item.Key.Name, suspectsOfWire(body.GetSuspects(), now), printsOfWire(body.GetCleared()), now)
+	}
 }
 
 // Tick reports results to the holders and evaluates the pools held by this VM.
 func (b *Balancer) Tick(now time.Time) {
 	b.mu.Lock()
 	type pendingReport struct {
-		cell    string
-		reports []health.Report
+		cell     string
+		outcomes *wire.Outcomes
 	}
 	var pending []pendingReport
+	b.guard.Expire(now)
 	for name, cs := range b.cellStates {
-		if reports := cs.report(now); len(reports) > 0 {
-			pending = append(pending, pendingReport{name, reports})
+		outcomes := reportsToWire(name, cs.report(now))
+		outcomes.Torn, outcomes.Cleared = cs.torn, printsToWire(cs.cleared)
+		cs.torn, cs.cleared = nil, nil
+		if len(outcomes.GetTargets())+len(outcomes.GetTorn())+len(outcomes.GetCleared()) > 0 {
+			pending = append(pending, pendingReport{name, outcomes})
 		}
 	}
 	b.mu.Unlock()
 	for _, one := range pending {
-		b.sendReport(one.cell, one.reports, now)
+		b.sendOutcomes(one.cell, one.outcomes, now)
 	}
 	b.tickHolders(now)
 }
@@ -170,21 +185,23 @@
 	return reports
 }
 
-func (b *Balancer) sendReport(cell string, reports []health.Report, now time.Time) {
+// sendOutcomes sends a report to the holder of a cell, which may be this VM.
+func (b *Balancer) sendOutcomes(cell string, m *wire.Outcomes, now time.Time) {
 	name := LeaseName(cell)
 	if _, held := b.leases.Held(name); held {
-		b.handleReport(b.options.VM, cell, reports, now)
+		b.handleReport(b.options.VM, m, now)
 		return
 	}
 	holder, ok := b.leases.Holder(name)
 	if !ok || holder == b.options.VM {
 		return
 	}
-	b.link.Send(holder, &wire.Envelope{Body: &wire.Envelope_Outcomes{Outcomes: reportsToWire(cell, reports)}})
+	b.link.Send(holder, &wire.Envelope{Body: &wire.Envelope_Outcomes{Outcomes: m}})
 }
 
 // handleReport passes a report to the local holder, if this VM holds the cell.
-func (b *Balancer) handleReport(vm, cell string, reports []health.Report, now time.Time) {
+func (b *Balancer) handleReport(vm string, m *wire.Outcomes, now time.Time) {
+	cell, reports := m.GetPool(), reportsOfWire(m)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	h := b.localHolder(cell)
@@ -197,6 +214,7 @@
 			b.markCold(h, cell, r.Target)
 		}
 	}
+	b.recordReportedEvidence(m, now)
 }
 
 // localHolder returns the holder of a cell, or nil if this VM does not hold it.
@@ -212,6 +230,7 @@
 		for _, name := range b.cellState(cell).status.cold {
 			b.markCold(h, cell, name)
 		}
+		h.scheduler.guard, h.scheduler.cell = b.guard, cell
 		h.scheduler.assumeLimits(b.knownLimits(poolOfCell(cell, b.options.State())))
 		b.holders[cell] = h
 	}
@@ -252,20 +271,23 @@
 		return
 	}
 	next, decision := h.evaluate(b.cellServers(cell), settings, now)
-	before := h.published.limits
+	before := h.published
 	publish := h.publishDue(next, b.options.Placement, now)
 	b.mu.Unlock()
 	b.recordEvents(settings.Name, decision)
 	if publish {
-		b.recordLimits(settings.Name, before, next.limits)
-		b.publish(cell, next)
+		b.recordLimits(settings.Name, before.limits, next.limits)
+		b.recordSuspects(settings.Name, before.suspects, next.suspects, now)
+		b.publish(cell, next, now)
 	}
 	b.tickScheduler(cell, now)
 }
 
 // publish gossips the status of a cell to all entries.
-func (b *Balancer) publish(cell string, next status) {
-	m := &wire.Ejections{Targets: next.ejected, Cold: next.cold}
+func (b *Balancer) publish(cell string, next status, now time.Time) {
+	m := &wire.Ejections{
+		Targets: next.ejected, Cold: next.cold, Suspects: suspectsToWire(next.suspects, now), Cleared: printsToWire(next.cleared),
+	}
 	for name, boot := range next.warmed {
 		m.Warmed = append(m.Warmed, &wire.Warmed{Name: name, Boot: boot})
 	}
@@ -309,7 +331,7 @@
 	now := b.options.Clock.Now()
 	switch body := e.GetBody().(type) {
 	case *wire.Envelope_Outcomes:
-		b.handleReport(from, body.Outcomes.GetPool(), reportsOfWire(body.Outcomes), now)
+		b.handleReport(from, body.Outcomes, now)
 	case *wire.Envelope_PermitAsk:
 		b.receivePermitAsk(from, body.PermitAsk, now)
 	case *wire.Envelope_PermitAnswer:
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dottereldeal/dottereldeal/fleet"
+	"github.com/dottereldeal/dottereldeal/guard"
 	"github.com/dottereldeal/dottereldeal/health"
 	"github.com/dottereldeal/dottereldeal/retry"
 )
@@ -88,6 +89,9 @@
 	// forwarded is set if the holder of another cell has passed the request on. It is not
 	// passed on again.
 	forwarded bool
+	print     guard.Print
+	// hedge is set if another attempt of the request is running.
+	hedge bool
 }
 
 // requestKey identifies a request in the fleet.
@@ -102,8 +106,11 @@
 type assignment struct {
 	server    *server
 	workspace string
-	since     time.Time
-	until     time.Time
+	print     guard.Print
+	// boot is the server's when it was chosen.
+	boot  uint64
+	since time.Time
+	until time.Time
 	// final is set if no retry can follow this attempt.
 	final   bool
 	ramping bool
@@ -112,13 +119,15 @@
 }
 
 // placement is the scheduler's decision on a request: it is assigned to a target, queued,
-// left to another cell, or rejected with a retry delay.
+// left to another cell, or rejected with a retry delay, which is the rest of its quarantine if
+// it is in one.
 type placement struct {
-	request    request
-	target     string
-	queued     bool
-	forward    destination
-	retryAfter time.Duration
+	request     request
+	target      string
+	queued      bool
+	forward     destination
+	retryAfter  time.Duration
+	quarantined bool
 }
 
 // scheduler assigns the requests of a pool to its backend servers. It tracks every slot in
@@ -152,6 +161,11 @@
 	budget *retry.Budget
 	// assumedLimits are the limits of servers that are not in servers yet.
 	assumedLimits map[string]float64
+	// guard knows the requests that may crash servers; this scheduler gives evidence as cell.
+	guard *guard.Table
+	cell  string
+	// copies counts the assignments of each request that can be identified.
+	copies map[guard.Print]int
 	// free is reused by withFreeSlot.
 	free []*server
 }
@@ -161,7 +175,7 @@
 		model: health.NewModel(), byName: make(map[string]*server), entries: make(map[string]int),
 		assignments: make(map[requestKey]assignment), paths: newPaths(),
 		running: make(map[string]int), serviceTime: initialServiceTime, evidence: newEvidence(), overflow: newOverflow(),
-		budget: retry.NewBudget(budget...),
+		budget: retry.NewBudget(budget...), guard: guard.New(), copies: make(map[guard.Print]int),
 	}
 }
 
@@ -185,6 +199,9 @@
 func (s *scheduler) place(req request, view poolView, now time.Time) placement {
 	s.sync(view, now)
 	s.observeRunning(now)
+	if left, held := s.guard.Quarantined(req.print, now); held {
+		return placement{request: req, retryAfter: left, quarantined: true}
+	}
 	if !req.arrived && !req.forwarded {
 		s.budget.Deposit()
 	}
@@ -193,6 +210,9 @@
 		return placement{request: req, retryAfter: minRetryAfter}
 	}
 	view.belowFloor = s.belowFloor(view, now)
+	if s.mustWait(req) {
+		return s.queueSuspect(req, now)
+	}
 	if srv := s.selectServer(req, s.servers, view, now); srv != nil {
 		return s.assign(req, srv, now)
 	}
@@ -236,7 +256,7 @@
 
 // assign takes a slot for a request.
 func (s *scheduler) assign(req request, srv *server, now time.Time) placement {
-	a := assignment{final: !req.idempotent || req.arrived, server: srv, workspace: req.workspace, since: now, until: req.deadline.Add(abandonedAfter)}
+	a := assignment{final: !req.idempotent || req.arrived, server: srv, workspace: req.workspace, print: req.print, boot: srv.boot, since: now, until: req.deadline.Add(abandonedAfter)}
 	if srv.ramp != nil {
 		a.ramping = true
 		srv.ramp.Grant(now)
@@ -247,6 +267,9 @@
 	s.assignments[req.key()] = a
 	s.evidence.started(req.key(), now)
 	s.running[req.workspace]++
+	if req.print != (guard.Print{}) {
+		s.copies[req.print]++
+	}
 	return placement{request: req, target: srv.name}
 }
 
@@ -355,6 +378,7 @@
 	if !s.paths.recordResult(key.vm, a.server.name, r.Kind, a.since, now) {
 		s.observe(a, r, now)
 	}
+	s.recordEvidence(a, r, now)
 	return a.server.name, true
 }
 
@@ -364,6 +388,9 @@
 	if s.running[a.workspace]--; s.running[a.workspace] <= 0 {
 		delete(s.running, a.workspace)
 	}
+	if s.copies[a.print]--; s.copies[a.print] <= 0 {
+		delete(s.copies, a.print)
+	}
 }
 
 // observe updates the estimate of a server with a result. A success shows the state of the
@@ -414,7 +441,7 @@
 	for {
 		best := -1
 		for i, req := range s.queue {
-			if !req.forwarded && (best < 0 || s.precedes(req, s.queue[best], now)) {
+			if !req.forwarded && !s.mustWait(req) && (best < 0 || s.precedes(req, s.queue[best], now)) {
 				best = i
 			}
 		}
@@ -437,12 +464,16 @@
 		return nil
 	}
 	s.sync(view, now)
-	var placements []placement
+	placements := s.rejectQuarantined(now)
 	s.queue = slices.DeleteFunc(s.queue, func(req request) bool {
 		late := now.Add(s.serviceTime).After(req.deadline)
 		if !late && len(s.servers) > 0 {
 			return false
 		}
+		if s.mustWait(req) {
+			placements = append(placements, placement{request: req, retryAfter: minRetryAfter})
+			return true
+		}
 		if to, ok := s.otherCell(req, true, now); ok {
 			placements = append(placements, placement{request: req, forward: to})
 		} else {
@@ -485,7 +516,7 @@
 	best := -1
 	var selected *server
 	for i, req := range s.queue {
-		if best >= 0 && !s.precedes(req, s.queue[best], now) {
+		if best >= 0 && !s.precedes(req, s.queue[best], now) || s.mustWait(req) {
 			continue
 		}
 		if srv := s.selectServer(req, free, view, now); srv != nil {
--- a/pool/server.go
+++ b/pool/server.go
@@ -143,6 +143,9 @@
 		if !known {
 			srv = &server{name: t.Name}
 		}
+		if known && srv.boot != t.Boot {
+			s.guard.Gone(t.Name)
+		}
 		if !known || srv.boot != t.Boot {
 			srv.estimate, srv.boot, srv.throttle = health.NewEstimate(s.model, now), t.Boot, nil
 		}
@@ -157,6 +160,7 @@
 	for name := range s.byName {
 		if byName[name] == nil {
 			s.paths.forget(name)
+			s.guard.Gone(name)
 		}
 	}
 	s.servers, s.byName = servers, byName
--- a/prog/prog.go
+++ b/prog/prog.go
@@ -58,6 +58,8 @@
 		{"replica replace", "VM", "replace the replica of a VM by the one that waits there", replicaCommand(http.MethodPut, true)},
 		{"replica remove", "VM", "take the replica of a VM out of the group", replicaCommand(http.MethodDelete, true)},
 		{"replica rescue", "", "make the replica in a folder the only one, after a majority is lost for good", rescueCommand},
+		{"quarantine list", "", "list the requests that may crash backend servers", quarantineListCommand},
+		{"quarantine release", "PRINT", "clear a request that is in quarantine", quarantineReleaseCommand},
 		{"status", "", "show the state of the fleet", statusCommand},
 		{"timeline", "", "merge the events of all processes", timelineCommand},
 		{"demo", "", "run a small fleet on this machine", demoCommand},
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -48,9 +48,12 @@
 
 // problem returns the problem with which the request is refused.
 func (f *failure) problem() problem {
+	var quarantine *pick.QuarantineError
 	switch {
 	case errors.Is(f.cause, ErrKeyWithdrawn):
 		return problemKeyWithdrawn.withOutcome(f.outcome)
+	case f.outcome == NotRun && errors.As(f.cause, &quarantine):
+		return problemQuarantined.withRetryAfter(quarantine.Left)
 	case f.outcome == NotRun:
 		var retryable interface{ After() time.Duration }
 		if errors.As(f.cause, &retryable) {
--- a/proxy/problem.go
+++ b/proxy/problem.go
@@ -53,6 +53,7 @@
 	problemNotServing        = problem{status: http.StatusServiceUnavailable, kind: "not-serving", title: "This VM does not serve at present", outcome: NotRun, retryAfter: time.Second}
 	problemOutdated          = problem{status: http.StatusServiceUnavailable, kind: "outdated-configuration", title: "This VM may lack an accepted change", outcome: NotRun, retryAfter: 200 * time.Millisecond}
 	problemNoTarget          = problem{status: http.StatusServiceUnavailable, kind: "no-backend-server", title: "No backend server can take the request", outcome: NotRun, retryAfter: time.Second}
+	problemQuarantined       = problem{status: http.StatusServiceUnavailable, kind: "quarantined", title: "Backend servers crashed while they ran this request", outcome: NotRun}
 	problemDeadline          = problem{status: http.StatusGatewayTimeout, kind: "deadline", title: "The deadline has passed"}
 	problemBackendFailed     = problem{status: http.StatusBadGateway, kind: "backend-server-failed", title: "The backend server gave no whole answer"}
 )
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -303,7 +303,7 @@
 			return guard.Print{}
 		}
 	}
-	return guard.PrintOf(workspace, x.request.Method, x.request.Host, x.request.URL.RequestURI(), x.body.length, body)
+	return guard.PrintOf(workspace, x.request.Method, x.request.URL.RequestURI(), x.body.length, body)
 }
 
 // IdempotencyHeader is the header with the key that identifies repeated sends of a request.
--- a/proxy/retry.go
+++ b/proxy/retry.go
@@ -71,6 +71,7 @@
 func (x *exchange) pickRequest(tried []string, deadline *requestDeadline) pick.Request {
 	r := pick.Request{
 		Avoid: tried, Idempotent: x.route.Idempotent, Rank: x.route.Rank, Timeout: deadline.remaining(), Bytes: x.body.length,
+		Print: x.print, Label: x.request.Method + " " + x.request.URL.Path,
 		Objective: time.Duration(x.route.Objective) - x.handler.options.Clock.Now().Sub(x.receivedAt),
 	}
 	if x.workspace != nil {
@@ -100,6 +101,7 @@
 	// reached a backend server. Attempts that could not connect cost no backend server
 	// anything.
 	r.Arrived = l.reached+l.running > 0
+	r.Hedge = l.running > 0
 	choice, err := l.exchange.handler.options.Picker.Pick(ctx, l.exchange.pool, r)
 	if err != nil {
 		return err
