Let entries that are cut off connect to backend servers through others

What callers saw: 23 of 40 entries lost their links to all backend servers.

Causes: an entry that is cut off had no way to a server. And its failures were held against the servers: requests that hang at two entries make a server count as silent, so that nearly all servers did, and the entries that were not cut off were refused for want of a slot.

An entry tries a connection that takes long through another entry as well, as a tunnel over the link that they share (package relay); everything else stays with the entry that has the request. It finds out by a few probes that it is cut off, says so, and asks relays first from then on. Holders take back what was held against servers because of entries that turn out to be cut off.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -30,6 +30,7 @@
 	"github.com/dottereldeal/dottereldeal/pick"
 	"github.com/dottereldeal/dottereldeal/pool"
 	"github.com/dottereldeal/dottereldeal/proxy"
+	"github.com/dottereldeal/dottereldeal/relay"
 	"github.com/dottereldeal/dottereldeal/state"
 	"github.com/dottereldeal/dottereldeal/wire"
 )
@@ -67,6 +68,7 @@
 	limits    *limit.Distributed
 	pools     *pool.Balancer
 	claims    *claim.Manager
+	relay     *relay.Dialer
 	config    atomic.Pointer[proxy.Config]
 	proxy     *proxy.Handler
 
@@ -83,7 +85,7 @@
 	e.config.Store(proxy.NewConfig(state.State{}))
 	e.link = link.New(l.Links,
 		link.VM(e.options.VM), link.EventLog(e.options.EventLog), link.Identity(e.options.Identity),
-		link.Receive(e.receive), link.Drop(e.options.Drop),
+		link.Receive(e.receive), link.Tunnel(e.serveTunnel), link.Drop(e.options.Drop),
 	)
 	e.setPeers()
 	boot := uint64(e.options.Clock.Now().UnixNano())
@@ -108,11 +110,12 @@
 		claim.VM(e.options.VM), claim.Voters(func() []string { return e.State().ActiveVoters() }),
 		claim.CheckFresh(e.checkFresh), claim.Clock(e.options.Clock),
 	)
+	e.relay = relay.New(e.link, e.relayOptions()...)
 	e.freshness = newFreshnessTracker(e)
 	e.watcher = newConfigWatcher(e)
 	e.proxy = proxy.New(append([]proxy.Option{
 		proxy.ConfigFunc(e.config.Load), proxy.ServingCheck(e.checkServing), proxy.Configured(e.freshness.confirmed), proxy.CurrentCheck(e.checkCurrent), proxy.Clock(e.options.Clock),
-		proxy.Limiter(e.limits),
+		proxy.Limiter(e.limits), proxy.Dial(e.relay.Dial),
 		proxy.Picker(e.picker()), proxy.Claim(e.claims.Claim),
 		proxy.EntryCount(func() int { return len(e.fleet.Members()) }),
 		proxy.KeyHeader(e.options.KeyHeader), proxy.KeyQuery(e.options.KeyQuery), proxy.KeyCookie(e.options.KeyCookie),
@@ -158,6 +161,9 @@
 	if e.stopping.Load() {
 		return ErrStopping
 	}
+	if err := e.relay.Check(); err != nil {
+		return err
+	}
 	return e.checkServing()
 }
 
@@ -261,6 +267,8 @@
 	defer stopLimits()
 	stopPools := e.options.Clock.Every(pool.Period, e.pools.Tick)
 	defer stopPools()
+	stopRelay := e.options.Clock.Every(relay.Period, e.relay.Tick)
+	defer stopRelay()
 	var err error
 	select {
 	case <-ctx.Done():
@@ -320,6 +328,7 @@
 	e.options.EventLog.Record(event.Stopping, "entry", "")
 	e.stopping.Store(true)
 	e.fleet.Drain()
+	e.relay.Close()
 	e.leases.Stop()
 	time.Sleep(e.options.DrainDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), e.options.DrainLimit)
@@ -329,6 +338,7 @@
 			s.Close()
 		}
 	}
+	e.relay.Drain(ctx)
 	e.fleet.Leave()
 	e.proxy.Close()
 	time.Sleep(leaveDelay)
--- a/entry/options.go
+++ b/entry/options.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"log"
 	"net"
@@ -73,6 +74,8 @@
 	DrainLimit time.Duration
 	// RoundRobin selects backend servers in turn, as a baseline for measurements.
 	RoundRobin bool
+	// Connect opens TCP connections to backend servers, for tests.
+	Connect func(ctx context.Context, addr string) (net.Conn, error)
 	// Drop reports whether to drop a message to a VM, for tests.
 	Drop func(to string) bool
 }
@@ -172,6 +175,11 @@
 	return l.Links.Addr().(*net.TCPAddr).AddrPort().String()
 }
 
+// Connect sets the function that opens TCP connections to backend servers, for tests.
+func Connect(f func(ctx context.Context, addr string) (net.Conn, error)) Option {
+	return func(o *Options) { o.Connect = f }
+}
+
 func newOptions(opts ...Option) Options {
 	o := Options{
 		KeyHeader:   "Authorization",
--- a/entry/status.go
+++ b/entry/status.go
@@ -41,6 +41,11 @@
 	Neighbours []string       `json:"neighbours"`
 	Pools      []poolStatus   `json:"pools"`
 	Links      link.Stats     `json:"links"`
+	// CutOff is set while this VM reaches no backend servers by itself. Tunnels counts its
+	// connections through each other entry, Relayed those of others through this one.
+	CutOff  bool           `json:"cut-off"`
+	Tunnels map[string]int `json:"tunnels,omitempty"`
+	Relayed int            `json:"relayed"`
 }
 
 func (e *Entry) adminOptions() []admin.Option {
@@ -59,8 +64,9 @@
 		VM: e.options.VM, DataCentre: e.options.DataCentre, Serving: true,
 		Leases: len(e.leases.HeldNames()),
 		State:  e.State().Index(), InFlight: e.proxy.InFlight(),
-		Neighbours: e.fleet.Neighbours(), Links: e.link.Stats(),
+		Neighbours: e.fleet.Neighbours(), Links: e.link.Stats(), CutOff: e.relay.CutOff(),
 	}
+	response.Tunnels, response.Relayed = e.relay.Relays()
 	if err := e.Ready(); err != nil {
 		response.Serving, response.Reason = false, err.Error()
 	}
--- a/event/event.go
+++ b/event/event.go
@@ -60,6 +60,8 @@
 	TargetUnlimited    Kind = "target-unlimited"
 	Ejected            Kind = "ejected"
 	Readmitted         Kind = "readmitted"
+	BackendsLost       Kind = "backend-servers-lost"
+	BackendsReached    Kind = "backend-servers-reached"
 	RequestQuarantined Kind = "request-quarantined"
 	RequestReleased    Kind = "request-released"
 	EjectionRefused    Kind = "ejection-refused"
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -163,6 +163,14 @@
 	})
 }
 
+// SetCutOff announces whether this entry reaches no backend servers by itself.
+func (f *Fleet) SetCutOff(cutOff bool) {
+	f.step(func(now time.Time) {
+		f.core.self = f.core.self.WithCutOff(cutOff)
+		f.core.put(f.core.self.item(), "", now)
+	})
+}
+
 // Leave announces that this entry leaves the fleet, and stops.
 func (f *Fleet) Leave() {
 	f.stop()
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -34,6 +34,8 @@
 	Incarnation uint64
 	// Draining is set while the member shuts down; it is assigned no new work.
 	Draining bool
+	// CutOff is set while the member reaches no backend servers by itself.
+	CutOff bool
 }
 
 // Active reports whether the member is part of the fleet.
@@ -55,9 +57,17 @@
 	return m
 }
 
+// WithCutOff returns a copy of the member, in a new incarnation, that is cut off from the backend
+// servers or no longer is.
+func (m Member) WithCutOff(cutOff bool) Member {
+	m.CutOff = cutOff
+	m.Incarnation++
+	return m
+}
+
 // item encodes the member as an item. The count combines incarnation and rank.
 func (m Member) item() Item {
-	body, _ := proto.Marshal(&wire.Member{Addr: m.Addr, DataCentre: m.DataCentre, State: string(m.Condition), Draining: m.Draining})
+	body, _ := proto.Marshal(&wire.Member{Addr: m.Addr, DataCentre: m.DataCentre, State: string(m.Condition), Draining: m.Draining, CutOff: m.CutOff})
 	count := m.Incarnation*conditionCount + conditionRanks[m.Condition]
 	return Item{
 		Key: Key{KindMember, m.VM}, Version: Version{m.Boot, count}, Body: body,
@@ -76,6 +86,7 @@
 		VM: i.Key.Name, Addr: body.GetAddr(), DataCentre: body.GetDataCentre(),
 		Condition: Condition(body.GetState()),
 		Boot:      i.Version.Boot, Incarnation: i.Version.Count / conditionCount, Draining: body.GetDraining(),
+		CutOff: body.GetCutOff(),
 	}
 	rank, ok := conditionRanks[m.Condition]
 	return m, ok && rank == i.Version.Count%conditionCount
--- a/link/link.go
+++ b/link/link.go
@@ -36,6 +36,8 @@
 	ErrWrongName = errors.New("peer is not the expected VM")
 	// ErrNoHello means that the first message of a stream is not a hello with a name.
 	ErrNoHello = errors.New("stream does not start with a hello")
+	// ErrDropped means that messages to the VM are dropped, in tests of network partitions.
+	ErrDropped = errors.New("connections to the VM are dropped")
 )
 
 // Transport sends and receives messages.
@@ -45,6 +47,9 @@
 	Send(to string, m *wire.Envelope) bool
 	// SetPeer sets the address of a VM.
 	SetPeer(vm string, addr netip.AddrPort)
+	// Open opens a connection through a VM to an address, which the VM decides on. Only what it
+	// answers shows whether it has accepted.
+	Open(vm, addr string) (net.Conn, error)
 	// Reconnect closes the open connection to a VM, so that the next message is sent
 	// over a new one.
 	Reconnect(vm string)
@@ -60,6 +65,10 @@
 // stream, and concurrently for different streams.
 type Handler func(from string, m *wire.Envelope)
 
+// TunnelHandler serves a connection that another VM has opened to an address. The connection is
+// closed when it returns.
+type TunnelHandler func(from, addr string, conn net.Conn)
+
 // Stats holds the traffic counters of a process.
 type Stats struct {
 	SentMessages     uint64 `json:"sent-messages"`
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -178,3 +179,43 @@
 		}
 	}
 }
+
+// A tunnel carries bytes both ways over the session of the messages, and its near end can be
+// closed while a read waits.
+func TestTunnelsShareTheSessionOfMessages(t *testing.T) {
+	is := is.New(t)
+	served := make(chan string, 2)
+	echo := func(from, addr string, conn net.Conn) {
+		served <- from + " " + addr
+		io.Copy(conn, conn)
+	}
+	a, b := startNode(t, "a"), startNode(t, "b", link.Tunnel(echo))
+	a.SetPeer("b", b.addr)
+	conn, err := a.Open("b", "10.0.0.7:80")
+	is.NoErr(err)
+	is.Equal(<-served, "a 10.0.0.7:80")
+	_, err = conn.Write([]byte("hello"))
+	is.NoErr(err)
+	answer := make([]byte, 5)
+	_, err = io.ReadFull(conn, answer)
+	is.NoErr(err)
+	is.Equal(string(answer), "hello")
+	is.True(a.Send("b", watchMessage(7)))
+	is.Equal(nextIndex(t, b.received), uint64(7))
+	is.Equal(a.Stats().Sessions, 1)
+
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		conn.Read(answer)
+	}()
+	time.Sleep(20 * time.Millisecond)
+	conn.Close()
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("a read did not end with its tunnel")
+	}
+	_, err = a.Open("nobody", "10.0.0.7:80")
+	is.True(err != nil)
+}
--- a/link/options.go
+++ b/link/options.go
@@ -43,6 +43,8 @@
 	Identity *cert.Identity
 	// Receive handles the received messages.
 	Receive Handler
+	// Tunnel serves connections that other VMs open through this one.
+	Tunnel TunnelHandler
 	// QueueSize is the maximum number of queued messages per peer.
 	QueueSize int
 	// Dial opens a TCP connection to a peer.
@@ -67,6 +69,9 @@
 // Receive sets the handler of received messages.
 func Receive(h Handler) Option { return func(o *Options) { o.Receive = h } }
 
+// Tunnel sets the handler of connections that other VMs open through this one.
+func Tunnel(h TunnelHandler) Option { return func(o *Options) { o.Tunnel = h } }
+
 // QueueSize sets the maximum number of queued messages per peer.
 func QueueSize(n int) Option { return func(o *Options) { o.QueueSize = n } }
 
@@ -83,6 +88,7 @@
 	o := Options{
 		QueueSize: defaultQueue,
 		Receive:   func(string, *wire.Envelope) {},
+		Tunnel:    func(string, string, net.Conn) {},
 		Drop:      func(string) bool { return false },
 		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", addr)
--- a/link/peer.go
+++ b/link/peer.go
@@ -31,8 +31,11 @@
 
 	mu          sync.Mutex
 	session     *yamux.Session // open session for sending, dialled by either side
+	conn        *sessionConn   // of session
 	dialledHere bool           // session was dialled by this process
 	stream      *yamux.Stream
+	// dialling is held by the one goroutine that dials.
+	dialling sync.Mutex
 	// cancelDial cancels a dial in progress.
 	cancelDial context.CancelFunc
 	// nextDialTimeout is the timeout of the next dial.
@@ -59,7 +62,7 @@
 
 // adoptSession uses a session that the peer opened for sending, unless there is an open
 // one that this process dialled. It cancels a dial in progress.
-func (p *peer) adoptSession(s *yamux.Session) {
+func (p *peer) adoptSession(s *yamux.Session, conn *sessionConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.session != nil && !p.session.IsClosed() && p.dialledHere {
@@ -69,7 +72,7 @@
 		return
 	}
 	p.stream = nil
-	p.session, p.dialledHere = s, false
+	p.session, p.conn, p.dialledHere = s, conn, false
 	if p.cancelDial != nil {
 		p.cancelDial()
 	}
@@ -89,7 +92,7 @@
 	if p.session != nil {
 		p.session.Close()
 	}
-	p.session, p.stream, p.dialledHere = nil, nil, false
+	p.session, p.conn, p.stream, p.dialledHere = nil, nil, nil, false
 }
 
 // run sends messages until the transport stops or the peer is removed as idle.
@@ -188,24 +191,20 @@
 // openStream returns the open stream to the peer, or opens one on an open or new session.
 func (p *peer) openStream() (*yamux.Stream, error) {
 	p.mu.Lock()
-	stream, session := p.stream, p.session
-	if session != nil && session.IsClosed() {
+	stream := p.stream
+	if p.session != nil && p.session.IsClosed() {
 		p.closeLocked()
-		stream, session = nil, nil
+		stream = nil
 	}
 	p.mu.Unlock()
 	if stream != nil {
 		return stream, nil
 	}
-	if session == nil {
-		var err error
-		if session, err = p.dial(); err != nil {
-			if session = p.openSession(); session == nil {
-				return nil, err
-			}
-		}
+	session, _, err := p.connect()
+	if err != nil {
+		return nil, err
 	}
-	stream, err := session.OpenStream()
+	stream, err = session.OpenStream()
 	if err != nil {
 		p.dropSession()
 		return nil, err
@@ -223,14 +222,34 @@
 	return stream, nil
 }
 
-// openSession returns the open session, or nil.
-func (p *peer) openSession() *yamux.Session {
+// connect returns the open session, or dials one.
+func (p *peer) connect() (*yamux.Session, *sessionConn, error) {
+	p.dialling.Lock()
+	defer p.dialling.Unlock()
+	if session, conn := p.openSession(); session != nil {
+		return session, conn, nil
+	}
+	if err := p.dial(); err != nil {
+		if session, conn := p.openSession(); session != nil {
+			return session, conn, nil
+		}
+		return nil, nil, err
+	}
+	session, conn := p.openSession()
+	if session == nil {
+		return nil, nil, yamux.ErrSessionShutdown
+	}
+	return session, conn, nil
+}
+
+// openSession returns the open session with its connection, or nil.
+func (p *peer) openSession() (*yamux.Session, *sessionConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.session == nil || p.session.IsClosed() {
-		return nil
+		return nil, nil
 	}
-	return p.session
+	return p.session, p.conn
 }
 
 // dialContext returns the context of a dial. The first timeout is short: a VM without
@@ -247,27 +266,27 @@
 }
 
 // dial opens a session to the peer's address and starts to serve it.
-func (p *peer) dial() (*yamux.Session, error) {
+func (p *peer) dial() error {
 	addr := p.transport.addr(p.vm)
 	if !addr.IsValid() {
-		return nil, ErrNoAddress
+		return ErrNoAddress
 	}
 	ctx, cancel := p.dialContext()
 	defer cancel()
 	conn, err := p.transport.options.Dial(ctx, addr.String())
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if err := setTimeouts(conn); err != nil {
 		conn.Close()
-		return nil, err
+		return err
 	}
 	var state *tls.ConnectionState
 	if id := p.transport.options.Identity; id != nil {
 		tlsConn := tls.Client(conn, id.ClientConfig(p.vm))
 		if err := tlsConn.HandshakeContext(ctx); err != nil {
 			conn.Close()
-			return nil, err
+			return err
 		}
 		s := tlsConn.ConnectionState()
 		state, conn = &s, tlsConn
@@ -276,14 +295,14 @@
 	session, err := yamux.Client(sessionConn, yamuxConfig())
 	if err != nil {
 		conn.Close()
-		return nil, err
+		return err
 	}
 	p.mu.Lock()
-	p.session, p.dialledHere, p.stream = session, true, nil
+	p.session, p.conn, p.dialledHere, p.stream = session, sessionConn, true, nil
 	p.nextDialTimeout = minDialTimeout
 	p.mu.Unlock()
 	p.transport.goroutines.Go(func() { p.transport.serveSession(session, sessionConn, state, expectedName(p.vm)) })
-	return session, nil
+	return nil
 }
 
 // closeIdle closes the stream, and also the session if this process dialled it and it has
--- a/link/transport.go
+++ b/link/transport.go
@@ -262,21 +262,26 @@
 		}
 		t.goroutines.Go(func() {
 			defer conn.add(stream)()
-			t.serveStream(session, stream, state, name)
+			t.serveStream(session, conn, stream, state, name)
 		})
 	}
 }
 
-func (t *transport) serveStream(session *yamux.Session, stream *yamux.Stream, state *tls.ConnectionState, name string) {
+func (t *transport) serveStream(session *yamux.Session, conn *sessionConn, stream *yamux.Stream, state *tls.ConnectionState, name string) {
 	defer stream.Close()
 	reader := bufio.NewReader(&countingReader{reader: stream, count: &t.receivedBytes})
-	from, err := t.readHello(reader, state, name)
+	hello, err := t.readHello(reader, state, name)
 	if err != nil {
 		session.Close()
 		return
 	}
+	from := hello.GetVm()
 	if name == "" {
-		t.peer(from).adoptSession(session)
+		t.peer(from).adoptSession(session, conn)
+	}
+	if addr := hello.GetTunnel(); addr != "" {
+		t.options.Tunnel(from, addr, &servedTunnel{stream, reader})
+		return
 	}
 	for {
 		e, err := readEnvelope(reader)
@@ -292,25 +297,25 @@
 }
 
 // readHello reads the first message of a stream and verifies the peer's name.
-func (t *transport) readHello(reader *bufio.Reader, state *tls.ConnectionState, name string) (string, error) {
+func (t *transport) readHello(reader *bufio.Reader, state *tls.ConnectionState, name string) (*wire.Hello, error) {
 	e, err := readEnvelope(reader)
 	if err != nil {
-		return "", err
+		return nil, err
 	}
-	from := e.GetHello().GetVm()
-	if from == "" {
-		return "", ErrNoHello
+	hello := e.GetHello()
+	if hello.GetVm() == "" {
+		return nil, ErrNoHello
 	}
-	if name != "" && from != name {
-		return "", ErrWrongName
+	if name != "" && hello.GetVm() != name {
+		return nil, ErrWrongName
 	}
 	if state == nil {
-		return from, nil
+		return hello, nil
 	}
-	if err := cert.VerifyName(*state, from); err != nil {
-		return "", errors.Wrap(ErrWrongName, err.Error())
+	if err := cert.VerifyName(*state, hello.GetVm()); err != nil {
+		return nil, errors.Wrap(ErrWrongName, err.Error())
 	}
-	return from, nil
+	return hello, nil
 }
 
 func readEnvelope(reader *bufio.Reader) (*wire.Envelope, error) {
--- a/local/local.go
+++ b/local/local.go
@@ -98,6 +98,13 @@
 	return f, nil
 }
 
+// Configure changes the options of entries that are added from now on.
+func (f *Fleet) Configure(opts ...entry.Option) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.options.EntryOptions = append(f.options.EntryOptions, opts...)
+}
+
 func controlName(i int) string { return "c" + strconv.Itoa(i+1) }
 
 func listen() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -106,6 +106,7 @@
 // tickScheduler runs the periodic work of the scheduler of a cell held by this VM, and tells
 // the holders of the pool's other cells its load.
 func (b *Balancer) tickScheduler(cell string, now time.Time) {
+	cutOff := b.cutOffEntries()
 	divided := len(b.cells(poolOfCell(cell, b.options.State()))) > 1
 	b.mu.Lock()
 	h := b.localHolder(cell)
@@ -114,6 +115,7 @@
 		return
 	}
 	view := b.cellView(cell, h)
+	h.scheduler.setCutOff(cutOff, now)
 	placements := h.scheduler.tick(view, now)
 	var load *wire.CellLoad
 	if divided && now.Sub(h.loadSentAt) >= loadInterval {
--- a/pool/evidence.go
+++ b/pool/evidence.go
@@ -99,7 +99,8 @@
 	limit := time.Duration(overdueFactor * float64(s.serviceTime))
 	for _, d := range take(&s.evidence.overdue, now.Add(-limit)) {
 		a, running := s.assignments[d.key]
-		if !running || !a.since.Equal(d.at) || s.paths.answeredOther(d.key.vm, a.server.name, a.since) {
+		if !running || !a.since.Equal(d.at) || s.paths.answeredOther(d.key.vm, a.server.name, a.since) ||
+			s.cutOff.preceded(d.key.vm, a.since) {
 			continue
 		}
 		first := a.server.overdueRequest
@@ -109,6 +110,6 @@
 			continue
 		}
 		a.server.silent = true
-		a.server.estimate = a.server.estimate.WithResult(s.model, true, 0, now)
+		s.blame(a.server, d.key.vm, now)
 	}
 }
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -154,6 +154,7 @@
 	// failureShare is the share of the most recent requests that failed.
 	failureShare float64
 	paths        *paths
+	cutOff       cutOff
 	evidence     evidence
 	overflow     *overflow
 	backlog      backlog
@@ -375,8 +376,9 @@
 	if a.final && r.Kind != "" && r.Kind != health.Cancelled {
 		s.recordServed(r.Kind == health.OK)
 	}
-	if !s.paths.recordResult(key.vm, a.server.name, r.Kind, a.since, now) {
-		s.observe(a, r, now)
+	pathFailed := s.paths.recordResult(key.vm, a.server.name, r.Kind, a.since, now)
+	if !pathFailed && !(r.Kind.Bad() && s.cutOff.preceded(key.vm, a.since)) {
+		s.observe(key.vm, a, r, now)
 	}
 	s.recordEvidence(a, r, now)
 	return a.server.name, true
@@ -395,7 +397,7 @@
 
 // observe updates the estimate of a server with a result. A success shows the state of the
 // server when it accepted the request, a failure its present state.
-func (s *scheduler) observe(a assignment, r health.Result, now time.Time) {
+func (s *scheduler) observe(vm string, a assignment, r health.Result, now time.Time) {
 	if r.Kind == "" || r.Kind == health.Cancelled {
 		return
 	}
@@ -406,7 +408,7 @@
 	case r.Kind == health.Shed:
 	case bad:
 		s.evidence.failed(r, s.serviceTime)
-		a.server.estimate = a.server.estimate.WithResult(s.model, true, 0, now)
+		s.blame(a.server, vm, now)
 	default:
 		s.serviceTime += time.Duration(serviceTimeWeight * float64(r.Latency-s.serviceTime))
 		a.server.estimate = a.server.estimate.WithResult(s.model, false, a.seen, a.since)
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -224,8 +224,8 @@
 	s := newScheduler(retry.Slack(60, func() int { return 1 }))
 	s.sync(view, startTime)
 	now := startTime.Add(5 * time.Second)
-	s.observe(assignment{server: s.byName["proven"], since: now}, health.Result{Kind: health.OK}, now)
-	s.observe(assignment{server: s.byName["failed"], since: now}, health.Result{Kind: health.Failed}, now)
+	s.observe("e", assignment{server: s.byName["proven"], since: now}, health.Result{Kind: health.OK}, now)
+	s.observe("e", assignment{server: s.byName["failed"], since: now}, health.Result{Kind: health.Failed}, now)
 	req := request{vm: "e", id: 1, idempotent: true, objective: now.Add(time.Second), deadline: now.Add(time.Second)}
 	is.Equal(s.place(req, view, now).target, "old") // the server with the oldest result
 	req.id, req.avoid = 2, []string{"old"}
@@ -314,7 +314,7 @@
 	s.done(req.key(), health.Result{Kind: health.OK, Latency: time.Millisecond}, startTime)
 	req.id = 2
 	is.Equal(s.place(req, view, startTime.Add(time.Second)).target, first)
-	s.observe(assignment{server: s.byName[first]}, health.Result{Kind: health.Failed}, startTime.Add(time.Second))
+	s.observe("e", assignment{server: s.byName[first]}, health.Result{Kind: health.Failed}, startTime.Add(time.Second))
 	req.id = 3
 	is.True(s.place(req, view, startTime.Add(time.Second)).target != first) // health takes precedence
 }
--- a/pool/server.go
+++ b/pool/server.go
@@ -31,6 +31,8 @@
 	// overdueRequest is the last request without a result that was not held against the server,
 	// because one entry alone had such requests.
 	overdueRequest overdueRequest
+	// blames are the latest failures, which may be those of entries that are cut off.
+	blames []blame
 	// contacts holds the time at which each entry last received an answer from the server.
 	contacts []time.Time
 }
--- a/prog/status.go
+++ b/prog/status.go
@@ -40,6 +40,7 @@
 	// Entries only.
 	Serving bool   `json:"serving"`
 	Reason  string `json:"reason"`
+	CutOff  bool   `json:"cut-off"`
 	Pools   []struct {
 		Pool    string   `json:"pool"`
 		Warm    int      `json:"warm"`
@@ -143,6 +144,9 @@
 		if !e.Serving {
 			r.line(true, "entry %s does not serve: %s", e.VM, e.Reason)
 		}
+		if e.CutOff {
+			r.line(true, "entry %s is cut off from the backend servers and connects through others", e.VM)
+		}
 	}
 }
 
--- a/proxy/log.go
+++ b/proxy/log.go
@@ -25,7 +25,18 @@
 	x := a.exchange
 	x.handler.options.Logger.LogAttrs(x.request.Context(), level, "attempt ended",
 		append(x.attrs(), slog.String("target", a.choice.Target.Name), slog.Uint64("boot", a.choice.Target.Boot),
-			slog.String("result", string(kind)), slog.Duration("latency", latency), slog.String("detail", detail))...)
+			slog.String("result", string(kind)), slog.String("relay", a.relay()), slog.Duration("latency", latency), slog.String("detail", detail))...)
+}
+
+// relay returns the VM through which the attempt's connection leads, or an empty string.
+func (a *attempt) relay() string {
+	if a.conn == nil {
+		return ""
+	}
+	if conn, relayed := a.conn.Conn.(interface{ Relay() string }); relayed {
+		return conn.Relay()
+	}
+	return ""
 }
 
 // attrs returns the attributes that identify the request and its configuration.
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -56,6 +56,8 @@
 	Claim func(context.Context, claim.Key) error
 	Clock clock.Clock
 	Meter *meter.Meter
+	// Dial opens connections to backend servers.
+	Dial DialFunc
 	// Logger receives a line for each refusal, attempt and omitted retry.
 	Logger *slog.Logger
 	// KeepConnections is how long an idle connection to a backend server may be reused by
@@ -116,6 +118,9 @@
 // Meter sets the registry of the metrics.
 func Meter(m *meter.Meter) Option { return func(o *Options) { o.Meter = m } }
 
+// Dial sets the function that opens connections to backend servers.
+func Dial(f DialFunc) Option { return func(o *Options) { o.Dial = f } }
+
 // Logger sets the logger of decisions about requests.
 func Logger(l *slog.Logger) Option { return func(o *Options) { o.Logger = l } }
 
@@ -168,6 +173,7 @@
 		CurrentCheck: func() error { return nil },
 		Claim:        func(context.Context, claim.Key) error { return nil },
 		EntryCount:   func() int { return 1 },
+		Dial:         directDial(),
 		KeyHeader:    defaultKeyHeader,
 		KeyScheme:    defaultKeyScheme,
 		Headers:      DefaultHeaders(),
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -77,7 +77,7 @@
 	return &Handler{
 		options:     o,
 		keys:        newKeyExtractor(o),
-		transports:  newTransports(o.EntryCount, o.KeepConnections),
+		transports:  newTransports(o.EntryCount, o.Dial, o.KeepConnections),
 		inFlight:    newTracker(),
 		retryBudget: retry.NewBudget(o.RetryBudget...),
 		metrics:     newMetrics(o.Meter),
@@ -332,5 +332,8 @@
 // InFlight returns the number of authenticated requests in flight.
 func (h *Handler) InFlight() int { return h.inFlight.len() }
 
+// CloseIdle closes all idle connections to backend servers.
+func (h *Handler) CloseIdle() { h.transports.close() }
+
 // Close closes all idle connections to backend servers.
 func (h *Handler) Close() { h.transports.close() }
--- a/proxy/transport.go
+++ b/proxy/transport.go
@@ -12,10 +12,11 @@
 	"github.com/dottereldeal/dottereldeal/fleet"
 )
 
+// DialFunc opens a connection to the address of a backend server.
+type DialFunc func(ctx context.Context, addr string) (net.Conn, error)
+
 const (
-	// connectTimeout allows for a few round trips between regions. A request without a
-	// connection has not run and can be sent elsewhere, whereas TCP retransmits a lost
-	// handshake packet only after a second.
+	// connectTimeout and tcpKeepAlive are those of connections that no dial function opens.
 	connectTimeout  = 250 * time.Millisecond
 	tcpKeepAlive    = 5 * time.Second
 	idleConnTimeout = 10 * time.Second
@@ -73,6 +74,7 @@
 // transports holds the HTTP transports of all backend servers.
 type transports struct {
 	entryCount func() int
+	dial       DialFunc
 	// sharedIdleTimeout is the idle time-out of connections that non-idempotent requests
 	// reuse as well; 0 opens a new connection for each of these requests.
 	sharedIdleTimeout time.Duration
@@ -90,8 +92,8 @@
 	singleUse *http.Transport
 }
 
-func newTransports(entryCount func() int, sharedIdleTimeout time.Duration) *transports {
-	return &transports{entryCount: entryCount, sharedIdleTimeout: sharedIdleTimeout, targets: make(map[string]*targetTransport)}
+func newTransports(entryCount func() int, dial DialFunc, sharedIdleTimeout time.Duration) *transports {
+	return &transports{entryCount: entryCount, dial: dial, sharedIdleTimeout: sharedIdleTimeout, targets: make(map[string]*targetTransport)}
 }
 
 // forTarget returns the transports of a backend server. They are replaced if its address
@@ -107,12 +109,12 @@
 		cached.keepAlive.CloseIdleConnections()
 	}
 	limit := t.connectionLimit(target)
-	cached = &targetTransport{addr: target.Addr, keepAlive: newTransport(limit), singleUse: newTransport(limit)}
+	cached = &targetTransport{addr: target.Addr, keepAlive: t.newTransport(limit), singleUse: t.newTransport(limit)}
 	cached.singleUse.DisableKeepAlives = true
 	if t.sharedIdleTimeout > 0 {
 		// All requests share one transport. Its idle time-out must be well below the
 		// backend server's, because a request that crosses the close may be lost.
-		cached.keepAlive = newTransport(2 * limit)
+		cached.keepAlive = t.newTransport(2 * limit)
 		cached.keepAlive.IdleConnTimeout = t.sharedIdleTimeout
 		cached.singleUse = cached.keepAlive
 	}
@@ -130,11 +132,16 @@
 	return max(1, int(share/2))
 }
 
-func newTransport(limit int) *http.Transport {
+// directDial opens a TCP connection.
+func directDial() DialFunc {
 	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: tcpKeepAlive}
+	return func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) }
+}
+
+func (t *transports) newTransport(limit int) *http.Transport {
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, addr)
+		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			conn, err := t.dial(ctx, addr)
 			if err != nil {
 				return nil, err
 			}
