Believe a refusal only if it is that of the request

The caller was told not-run, or a request that must run once ran at a second server.

A refusal counts if it echoes the request's id, or if nothing else was sent on its connection before. Otherwise the connection is closed, and the request may have run.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -95,7 +95,13 @@
 	}
 	headers := x.handler.options.Headers
 	a.cold = response.Header.Get(headers.Phase) == string(fleet.Cold)
-	if kind, rejected := headers.rejection(response); rejected {
+	kind, rejected := headers.rejection(response)
+	if rejected && !a.answers(response) {
+		a.abortConn()
+		response.Body.Close()
+		return nil, a.failTruncated(ctx, errResponseMismatch, started)
+	}
+	if rejected {
 		if kind == health.Shed {
 			a.readLimit(response.Header)
 		}
@@ -112,6 +118,16 @@
 	return a.receive(ctx, response, started)
 }
 
+// answers reports whether a refusal is known to be that of this request. A faulty backend server
+// may write an earlier one once more on a connection that is reused, while it runs the request.
+func (a *attempt) answers(r *http.Response) bool {
+	name := a.exchange.handler.options.Headers.RequestID
+	if echoed := r.Header.Get(name); name != "" && echoed != "" {
+		return echoed == a.exchange.request.Header.Get(name)
+	}
+	return a.connOffset == 0 && !a.sentOnEarlierConn
+}
+
 // rejection reports whether a response says that the backend server did not run the
 // request. If another server answers at the address (421), the intended one is
 // unreachable there.
