Refuse requests that cannot end before a planned stop

One that lasts longer than what is left was cut without an answer, also if it must run once.

Once a stop has begun, a request is refused unsent if neither its deadline nor three times the usual hedge delay of its pool fits into the rest of the stop.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -74,8 +74,10 @@
 
 	entryCounter peakCounter
 	stopping     atomic.Bool
-	servers      []*http.Server
-	admin        *admin.Server
+	// stopBy is the time at which a planned stop ends the requests that still run.
+	stopBy  atomic.Pointer[time.Time]
+	servers []*http.Server
+	admin   *admin.Server
 }
 
 // New returns an entry, which Run serves.
@@ -114,7 +116,7 @@
 	e.freshness = newFreshnessTracker(e)
 	e.watcher = newConfigWatcher(e)
 	e.proxy = proxy.New(append([]proxy.Option{
-		proxy.ConfigFunc(e.config.Load), proxy.ServingCheck(e.checkServing), proxy.Configured(e.freshness.confirmed), proxy.CurrentCheck(e.checkCurrent), proxy.Clock(e.options.Clock),
+		proxy.ConfigFunc(e.config.Load), proxy.ServingCheck(e.checkServing), proxy.Configured(e.freshness.confirmed), proxy.CurrentCheck(e.checkCurrent), proxy.StopBy(e.stopTime), proxy.Clock(e.options.Clock),
 		proxy.Limiter(e.limits), proxy.Dial(e.relay.Dial),
 		proxy.Picker(e.picker()), proxy.Claim(e.claims.Claim),
 		proxy.EntryCount(func() int { return len(e.fleet.Members()) }),
@@ -322,10 +324,20 @@
 	})
 }
 
+// stopTime returns the time at which a planned stop ends running requests, if one is in progress.
+func (e *Entry) stopTime() time.Time {
+	if stopBy := e.stopBy.Load(); stopBy != nil {
+		return *stopBy
+	}
+	return time.Time{}
+}
+
 // stop takes this VM out of service: it ends readiness, closes the listeners, waits for
 // the requests in flight and leaves the fleet, in this order.
 func (e *Entry) stop() {
 	e.options.EventLog.Record(event.Stopping, "entry", "")
+	stopBy := e.options.Clock.Now().Add(e.options.DrainDelay + e.options.DrainLimit)
+	e.stopBy.Store(&stopBy)
 	e.stopping.Store(true)
 	e.fleet.Drain()
 	e.relay.Close()
--- a/proxy/options.go
+++ b/proxy/options.go
@@ -33,6 +33,9 @@
 	maxConfigWait = 700 * time.Millisecond
 	// configWaitDivisor limits the wait to a fraction of the caller's time-out.
 	configWaitDivisor = 2
+	// usualFactor is the multiple of the hedge delay within which nearly all requests are
+	// answered.
+	usualFactor = 3
 	// stallTimeout is the time without progress after which the transfer of a body is
 	// cancelled.
 	stallTimeout = 15 * time.Second
@@ -47,6 +50,9 @@
 	// CurrentCheck returns an error while the configuration may lack an accepted change. An
 	// unknown key or route is then refused as not served by this VM.
 	CurrentCheck func() error
+	// StopBy returns the time at which a planned stop ends the requests that still run, or the
+	// zero time if there is none. Requests that may not end before it are refused.
+	StopBy func() time.Time
 	// Configured is closed once the first configuration may be served. Requests wait
 	// for it for a limited time.
 	Configured <-chan struct{}
@@ -98,6 +104,9 @@
 // accepted change.
 func CurrentCheck(f func() error) Option { return func(o *Options) { o.CurrentCheck = f } }
 
+// StopBy sets the function that returns the time at which a planned stop ends running requests.
+func StopBy(f func() time.Time) Option { return func(o *Options) { o.StopBy = f } }
+
 // Configured sets the channel that is closed once the first configuration may be served.
 func Configured(c <-chan struct{}) Option { return func(o *Options) { o.Configured = c } }
 
@@ -171,6 +180,7 @@
 		ConfigFunc:   func() *Config { return NewConfig(state.State{}) },
 		ServingCheck: func() error { return nil },
 		CurrentCheck: func() error { return nil },
+		StopBy:       func() time.Time { return time.Time{} },
 		Claim:        func(context.Context, claim.Key) error { return nil },
 		EntryCount:   func() int { return 1 },
 		Dial:         directDial(),
--- a/proxy/problem.go
+++ b/proxy/problem.go
@@ -51,6 +51,7 @@
 	problemClaimed           = problem{status: http.StatusConflict, kind: "idempotency-key-claimed", title: "A request with this idempotency key was sent before", outcome: Unknown}
 	problemClaimFailed       = problem{status: http.StatusServiceUnavailable, kind: "idempotency-key-unknown", title: "The idempotency key could not be claimed", outcome: NotRun, retryAfter: time.Second}
 	problemNotServing        = problem{status: http.StatusServiceUnavailable, kind: "not-serving", title: "This VM does not serve at present", outcome: NotRun, retryAfter: time.Second}
+	problemStopping          = problem{status: http.StatusServiceUnavailable, kind: "stopping", title: "This VM stops before the request can be answered", outcome: NotRun, retryAfter: 50 * time.Millisecond}
 	problemOutdated          = problem{status: http.StatusServiceUnavailable, kind: "outdated-configuration", title: "This VM may lack an accepted change", outcome: NotRun, retryAfter: 200 * time.Millisecond}
 	problemNoTarget          = problem{status: http.StatusServiceUnavailable, kind: "no-backend-server", title: "No backend server can take the request", outcome: NotRun, retryAfter: time.Second}
 	problemQuarantined       = problem{status: http.StatusServiceUnavailable, kind: "quarantined", title: "Backend servers crashed while they ran this request", outcome: NotRun}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -273,6 +273,10 @@
 	x.body = body
 	x.print = x.fingerprint()
 	x.pool = route.SelectPool(x.route, rand.Float64())
+	if !x.fitsBeforeStop(deadline.remaining()) {
+		x.refuse(problemStopping)
+		return
+	}
 	if !body.buffered() {
 		// Without full duplex, the HTTP/1 server of net/http discards the rest of the
 		// upload as soon as the response begins.
@@ -291,6 +295,19 @@
 	x.sendResponse(ctx, response, deadline)
 }
 
+// fitsBeforeStop reports whether the request will be answered before a planned stop ends it.
+func (x *exchange) fitsBeforeStop(timeout time.Duration) bool {
+	stopBy := x.handler.options.StopBy()
+	if stopBy.IsZero() {
+		return true
+	}
+	needed := timeout
+	if usual := usualFactor * x.handler.options.Picker.HedgeDelay(x.pool); usual > 0 {
+		needed = min(needed, usual)
+	}
+	return needed <= stopBy.Sub(x.handler.options.Clock.Now())
+}
+
 // fingerprint returns what identifies the request among all entries, or the zero value if too
 // little of its body has arrived yet.
 func (x *exchange) fingerprint() guard.Print {
