Send nothing more to servers that say in answers that they leave

Nothing read the header: a server that leaves got requests until control had heard of it, and for as long as it is cut off from there.

What an answer says takes the server out of the lists that all choices are made from, on the entry that received it and at the holder that placed the request at once, and on the others with the status of the cell. It holds for that start of the server, whatever its registration says. It is neither a failure nor a place under the floor; a pool whose servers all leave refuses at once.

--- a/fake/fake.go
+++ b/fake/fake.go
@@ -32,6 +32,7 @@
 	shedHeader      = "Dottereldeal-Shed"
 	loadHeader      = "Dottereldeal-Load"
 	phaseHeader     = "Dottereldeal-Phase"
+	leavingHeader   = "Dottereldeal-Leaving"
 	deadlineHeader  = "Dottereldeal-Deadline-Ms"
 	workspaceHeader = "Dottereldeal-Workspace"
 )
@@ -50,6 +51,8 @@
 	TruncateRate float64
 	// Refuse closes connections at once.
 	Refuse bool
+	// Leaving is what responses say about whether the server leaves, if not empty.
+	Leaving string
 	// CrashPath ends the server when a request with this path has begun to run.
 	CrashPath string
 	// From limits the fault to requests from these entries; empty means all.
@@ -278,6 +281,9 @@
 	}
 	w.Header().Set(loadHeader, strconv.FormatFloat(s.load(), 'f', 2, 64))
 	w.Header().Set(phaseHeader, *s.reportedPhase.Load())
+	if fault.Leaving != "" {
+		w.Header().Set(leavingHeader, fault.Leaving)
+	}
 	if rand.Float64() < fault.ErrorRate {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
--- a/health/detector.go
+++ b/health/detector.go
@@ -84,6 +84,8 @@
 	Cold bool
 	// Limit is what the last response said about the requests that the backend server takes.
 	Limit Limit
+	// LeavingBoot is the boot in which the backend server has said that it leaves, 0 if it has not.
+	LeavingBoot uint64
 }
 
 // Ejection is an ejected backend server, which receives no requests.
--- a/health/health.go
+++ b/health/health.go
@@ -42,6 +42,10 @@
 	Cold bool
 	// Limit is what the response says about the requests that the backend server takes.
 	Limit Limit
+	// Leaving is set if the response says that the backend server leaves, in LeavingBoot if that
+	// is known.
+	Leaving     bool
+	LeavingBoot uint64
 	// Label names the request for operators, if its connection broke.
 	Label string
 }
--- a/pool/cell.go
+++ b/pool/cell.go
@@ -64,6 +64,7 @@
 type serverLists struct {
 	directory  *fleet.Directory
 	stateIndex uint64
+	leaving    *leavingServers
 	pools      sync.Map // name of a pool to *poolServers
 }
 
@@ -73,22 +74,33 @@
 	// names are the sorted names of the cells with eligible servers, and near those of the
 	// data centre of this VM.
 	names, near []string
+	// leaving holds, by cell, the servers that have said in answers that they leave.
+	leaving map[string][]fleet.Target
 }
 
 // servers returns the eligible servers of a pool. The result stays the same until the
-// directory or the state changes.
+// directory, the state or the set of leaving servers changes.
 func (b *Balancer) servers(pool string) *poolServers {
-	directory, current := b.fleet.Directory(), b.options.State()
+	directory, current, leaving := b.fleet.Directory(), b.options.State(), b.leaving.Load()
 	lists := b.serverLists.Load()
-	if lists == nil || lists.directory != directory || lists.stateIndex != current.Index() {
-		lists = &serverLists{directory: directory, stateIndex: current.Index()}
+	if lists == nil || lists.directory != directory || lists.stateIndex != current.Index() || lists.leaving != leaving {
+		lists = &serverLists{directory: directory, stateIndex: current.Index(), leaving: leaving}
 		b.serverLists.Store(lists)
 	}
 	if list, ok := lists.pools.Load(pool); ok {
 		return list.(*poolServers)
 	}
 	division, _ := state.Get[state.Division](current, pool)
-	list, _ := lists.pools.LoadOrStore(pool, newPoolServers(pick.Eligible(directory.Pool(pool), current), division, b.options.DataCentre))
+	eligible := pick.Eligible(directory.Pool(pool), current)
+	next := newPoolServers(leaving.without(eligible), division, b.options.DataCentre)
+	next.leaving = make(map[string][]fleet.Target)
+	for _, t := range eligible {
+		if leaving.has(t) {
+			cell := cellOf(t, division)
+			next.leaving[cell] = append(next.leaving[cell], t)
+		}
+	}
+	list, _ := lists.pools.LoadOrStore(pool, next)
 	return list.(*poolServers)
 }
 
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -83,8 +83,12 @@
 		b.mu.Unlock()
 		return
 	}
+	target, assigned := h.scheduler.done(requestKey{from, m.GetId()}, result, now)
+	if boot := m.GetLeavingBoot(); assigned && boot != 0 {
+		b.markLeaving(m.GetPool(), target, boot)
+	}
 	view := b.cellView(m.GetPool(), h)
-	if target, assigned := h.scheduler.done(requestKey{from, m.GetId()}, result, now); assigned {
+	if assigned {
 		b.recordPlaced(h, from, m.GetPool(), target, result, now)
 	}
 	placements := h.scheduler.placeQueued(view, now)
--- a/pool/holder.go
+++ b/pool/holder.go
@@ -47,11 +47,14 @@
 	// were answered here.
 	suspects []guard.Suspect
 	cleared  []guard.Print
+	// leaving are the targets that have said in answers that they leave.
+	leaving leavingServers
 }
 
 func (s status) equal(other status) bool {
 	return slices.Equal(s.ejected, other.ejected) && slices.Equal(s.cold, other.cold) && maps.Equal(s.warmed, other.warmed) &&
-		maps.Equal(s.limits, other.limits) && sameSuspects(s.suspects, other.suspects) && slices.Equal(s.cleared, other.cleared)
+		maps.Equal(s.limits, other.limits) && sameSuspects(s.suspects, other.suspects) &&
+		slices.Equal(s.cleared, other.cleared) && maps.Equal(s.leaving, other.leaving)
 }
 
 // sameLimited reports whether the same targets name a limit.
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -175,19 +175,26 @@
 	id := b.lastID
 	cs.server(t.Name).inFlight[id] = now
 	return pick.Choice{Target: t, Done: func(r health.Result) {
-		b.finish(cs, t.Name, id, permitted, r)
+		if r.Leaving {
+			b.markLeaving(t.Pool, t.Name, t.Boot)
+		}
+		b.finish(cs, t, id, permitted, r)
 		b.recordLocalEvidence(cs, req, t, r.Kind, now)
 	}}
 }
 
 // finish records the result of a request.
-func (b *Balancer) finish(cs *cellState, target string, id uint64, permitted bool, r health.Result) {
+func (b *Balancer) finish(cs *cellState, t fleet.Target, id uint64, permitted bool, r health.Result) {
+	target := t.Name
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.options.Clock.Now()
 	s := cs.server(target)
 	delete(s.inFlight, id)
 	s.recordResult(r, now)
+	if r.Leaving {
+		s.leavingBoot = t.Boot
+	}
 	if r.Kind == health.OK {
 		cs.latency.add(r.Latency)
 	}
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -181,11 +181,15 @@
 // know the server yet, or knows that it must not be used, the slot is released.
 func (b *Balancer) acceptSlot(cell, holder string, id uint64, name, label string) (pick.Choice, bool) {
 	t, known := b.target(cell, name)
-	if !known || !pick.IsEligible(t, b.options.State()) {
+	if !known || !pick.IsEligible(t, b.options.State()) || b.leaving.Load().has(t) {
 		b.releaseSlot(cell, holder, id, health.Result{})
 		return pick.Choice{}, false
 	}
 	return pick.Choice{Target: t, RetryCounted: true, Done: func(r health.Result) {
+		if r.Leaving {
+			b.markLeaving(t.Pool, t.Name, t.Boot)
+			r.LeavingBoot = t.Boot
+		}
 		b.finishPlaced(cell, t.Name, r)
 		if r.Kind == health.Torn {
 			r.Label = label
@@ -209,7 +213,7 @@
 // releaseSlot reports the result of a request to the holder, which frees its slot. An
 // empty result means that the request was not sent.
 func (b *Balancer) releaseSlot(cell, holder string, id uint64, r health.Result) {
-	m := &wire.SlotDone{Pool: cell, Id: id, Result: string(r.Kind), LatencyMicros: uint64(r.Latency.Microseconds()), Cold: r.Cold, Limit: limitToWire(r.Limit), Label: r.Label}
+	m := &wire.SlotDone{Pool: cell, Id: id, Result: string(r.Kind), LatencyMicros: uint64(r.Latency.Microseconds()), Cold: r.Cold, Limit: limitToWire(r.Limit), Label: r.Label, LeavingBoot: r.LeavingBoot}
 	if holder == b.options.VM {
 		b.receiveSlotDone(holder, m, b.options.Clock.Now())
 		return
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -52,6 +52,7 @@
 	leases  *lease.Manager
 
 	serverLists atomic.Pointer[serverLists]
+	leaving     atomic.Pointer[leavingServers]
 
 	mu sync.Mutex
 	// cellStates and holders are by the name of the cell.
@@ -84,6 +85,7 @@
 		cellStates: make(map[string]*cellState), holders: make(map[string]*holder), pending: make(map[uint64]*pendingRequest),
 		guard: guard.New(),
 	}
+	b.leaving.Store(&leavingServers{})
 	f.Watch(fleet.KindEjection, b.updateStatus)
 	return b
 }
@@ -126,6 +128,9 @@
 		limits[l.GetName()] = l.GetPerSecond()
 	}
 	cs := b.cellState(item.Key.Name)
+	for _, l := range body.GetLeaving() {
+		b.markLeaving(item.Key.Name, l.GetName(), l.GetBoot())
+	}
 	now := b.options.Clock.Now()
 	cs.status = next
 	cs.publishLimits(limits, now)
@@ -143,6 +148,7 @@
 	}
 	var pending []pendingReport
 	b.guard.Expire(now)
+	b.forgetLeaving()
 	for name, cs := range b.cellStates {
 		outcomes := reportsToWire(name, cs.report(now))
 		outcomes.Torn, outcomes.Cleared = cs.torn, printsToWire(cs.cleared)
@@ -167,12 +173,12 @@
 	for name, s := range cs.servers {
 		oldestWait := s.oldestWait(now)
 		limitChanged := s.reportedLimit.Stated != health.LimitUnstated
-		if s.stats.Total()+s.stats.Late == 0 && !s.cold && oldestWait < urgentWait && !limitChanged {
+		if s.stats.Total()+s.stats.Late == 0 && !s.cold && oldestWait < urgentWait && !limitChanged && s.leavingBoot == 0 {
 			continue
 		}
-		urgent = urgent || s.stats.Bad()+s.stats.Late > 0 || s.cold || oldestWait >= urgentWait || limitChanged
+		urgent = urgent || s.stats.Bad()+s.stats.Late > 0 || s.cold || s.leavingBoot != 0 || oldestWait >= urgentWait || limitChanged
 		reports = append(reports, health.Report{
-			Target: name, Stats: s.stats, Cold: s.cold, Limit: s.reportedLimit, Oldest: oldestWait, InFlight: len(s.inFlight),
+			Target: name, Stats: s.stats, Cold: s.cold, Limit: s.reportedLimit, LeavingBoot: s.leavingBoot, Oldest: oldestWait, InFlight: len(s.inFlight),
 		})
 	}
 	if !urgent && now.Sub(cs.lastReport) < routineReportInterval {
@@ -180,7 +186,7 @@
 	}
 	cs.lastReport = now
 	for _, s := range cs.servers {
-		s.stats, s.cold, s.reportedLimit = health.Stats{}, false, health.Limit{}
+		s.stats, s.cold, s.reportedLimit, s.leavingBoot = health.Stats{}, false, health.Limit{}, 0
 	}
 	return reports
 }
@@ -213,6 +219,9 @@
 		if r.Cold {
 			b.markCold(h, cell, r.Target)
 		}
+		if r.LeavingBoot != 0 {
+			b.markLeaving(cell, r.Target, r.LeavingBoot)
+		}
 	}
 	b.recordReportedEvidence(m, now)
 }
@@ -271,6 +280,7 @@
 		return
 	}
 	next, decision := h.evaluate(b.cellServers(cell), settings, now)
+	next.leaving = b.leavingOf(cell)
 	before := h.published
 	publish := h.publishDue(next, b.options.Placement, now)
 	b.mu.Unlock()
@@ -294,6 +304,9 @@
 	for name, perSecond := range next.limits {
 		m.Limited = append(m.Limited, &wire.Limited{Name: name, PerSecond: perSecond})
 	}
+	for name, boot := range next.leaving {
+		m.Leaving = append(m.Leaving, &wire.Warmed{Name: name, Boot: boot})
+	}
 	body, err := proto.Marshal(m)
 	if err != nil {
 		return
--- a/pool/stats.go
+++ b/pool/stats.go
@@ -35,6 +35,8 @@
 	// limit is set while the server names one, and reportedLimit if the holder must hear of it.
 	limit         *localLimit
 	reportedLimit health.Limit
+	// leavingBoot is set if the holder must hear that the server has said that it leaves.
+	leavingBoot uint64
 
 	failures   int
 	avoidUntil time.Time
--- a/pool/wire.go
+++ b/pool/wire.go
@@ -16,6 +16,7 @@
 			TimedOut: uint32(r.Stats.TimedOut), Unreachable: uint32(r.Stats.Unreachable), Torn: uint32(r.Stats.Torn), Late: uint32(r.Stats.Late),
 			LogSum: r.Stats.LogSum, LogSquares: r.Stats.LogSquares,
 			OldestMicros: uint64(r.Oldest.Microseconds()), InFlight: uint32(r.InFlight), Cold: r.Cold, Limit: limitToWire(r.Limit),
+			LeavingBoot: r.LeavingBoot,
 		})
 	}
 	return m
@@ -33,6 +34,7 @@
 			},
 			Oldest:   time.Duration(t.GetOldestMicros()) * time.Microsecond,
 			InFlight: int(t.GetInFlight()), Cold: t.GetCold(), Limit: limitOfWire(t.GetLimit()),
+			LeavingBoot: t.GetLeavingBoot(),
 		})
 	}
 	return reports
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -31,6 +31,8 @@
 	cold bool
 	// limit is what the response says about the requests that the backend server takes.
 	limit health.Limit
+	// leaving is set if the response says that the backend server leaves.
+	leaving bool
 }
 
 // rejectedRetryAfter is the shortest retry delay after all attempts of a request were rejected
@@ -103,7 +105,7 @@
 	}
 	if rejected {
 		if kind == health.Shed {
-			a.readLimit(response.Header)
+			a.readStatements(response.Header)
 		}
 		response.Body.Close()
 		a.report(kind, time.Since(started))
@@ -114,7 +116,7 @@
 		response.Body.Close()
 		return nil, a.failTruncated(ctx, err, started)
 	}
-	a.readLimit(response.Header)
+	a.readStatements(response.Header)
 	return a.receive(ctx, response, started)
 }
 
@@ -219,7 +221,7 @@
 func (a *attempt) report(kind health.Kind, latency time.Duration) {
 	a.exchange.handler.metrics.attempts.WithLabelValues(string(kind)).Inc()
 	a.logAttempt(kind, latency, a.detail)
-	a.choice.Done(health.Result{Kind: kind, Latency: latency, Cold: a.cold, Limit: a.limit})
+	a.choice.Done(health.Result{Kind: kind, Latency: latency, Cold: a.cold, Limit: a.limit, Leaving: a.leaving})
 }
 
 // targetURL returns the request's URL with the address of a backend server.
--- a/proxy/header.go
+++ b/proxy/header.go
@@ -37,13 +37,15 @@
 	// Limit names, on responses, the requests per second that the backend server takes from
 	// all entries together, as a decimal number.
 	Limit string
+	// Leaving is 1 on all responses of a backend server that is about to end.
+	Leaving string
 }
 
 // DefaultHeaders returns the fleet's own header names.
 func DefaultHeaders() Headers {
 	return Headers{
 		Workspace: WorkspaceHeader, Deadline: DeadlineHeader, Target: TargetHeader,
-		Shed: ShedHeader, Load: LoadHeader, Phase: PhaseHeader,
+		Shed: ShedHeader, Load: LoadHeader, Phase: PhaseHeader, Leaving: LeavingHeader,
 	}
 }
 
@@ -55,6 +57,7 @@
 	ShedHeader      = headerPrefix + "Shed"
 	LoadHeader      = headerPrefix + "Load"
 	PhaseHeader     = headerPrefix + "Phase"
+	LeavingHeader   = headerPrefix + "Leaving"
 )
 
 // reserved returns the headers that callers can neither set nor see.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -67,9 +67,9 @@
 	metrics     *metrics
 	// received and sent pace bodies in both directions of the link.
 	received, sent *pacer
-	// invalidLimitLogged is when an invalid limit of a backend server was last logged, in
+	// invalidHeaderLogged is when an invalid header of a backend server was last logged, in
 	// nanoseconds since the Unix epoch.
-	invalidLimitLogged atomic.Int64
+	invalidHeaderLogged atomic.Int64
 }
 
 func New(opts ...Option) *Handler {
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -451,3 +451,20 @@
 func (f pickerFunc) Pick(context.Context, string, pick.Request) (pick.Choice, error) { return f(), nil }
 func (f pickerFunc) HedgeDelay(string) time.Duration                                 { return 0 }
 func (f pickerFunc) String() string                                                  { return "func" }
+
+// A backend server says by the value 1 that it leaves. Anything else says nothing.
+func TestOnlyAClearStatementThatAServerLeavesCounts(t *testing.T) {
+	is := is.New(t)
+	for text, want := range map[string]bool{"1": true, "0": false, "true": false, "": false, "1, 1": false} {
+		backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(proxy.LeavingHeader, text)
+		}))
+		defer backend.Close()
+		results := make(chan health.Result, 1)
+		picker := pickerFunc(func() pick.Choice {
+			return pick.Choice{Target: fleet.Target{Name: "b1", Addr: backend.Listener.Addr().String()}, Done: func(r health.Result) { results <- r }}
+		})
+		is.Equal(send(t, http.MethodGet, serve(t, picker).URL+"/read/1", nil, nil).StatusCode, http.StatusOK)
+		is.Equal((<-results).Leaving, want) // leaving
+	}
+}
