Send nothing to a server during the pause that it names to this VM

Nothing read Retry-After of a backend server's 503: an entry sent as many requests as before to a server that wants none from it.

A pause holds between the entry that was rejected and the server, for every choice: the holder's, a slot of a holder that does not know of it, and the entry's own. If all servers want nothing from an entry, its callers are refused at once, with the time until the first does. Dates, fractions and endless values are read and bounded to 10 minutes; what is no time is ignored with a log line.

As a trial, a pause of one entry that holds for all starves servers which are full for that entry only.

--- a/health/health.go
+++ b/health/health.go
@@ -46,6 +46,9 @@
 	// is known.
 	Leaving     bool
 	LeavingBoot uint64
+	// Pause is the time for which the backend server, which has not run the request, wants no
+	// further one from this VM.
+	Pause time.Duration
 	// Label names the request for operators, if its connection broke.
 	Label string
 }
--- a/pool/cost.go
+++ b/pool/cost.go
@@ -14,7 +14,7 @@
 	bestCost := 0.0
 	from := s.sender(req, now)
 	for _, srv := range candidates {
-		if !srv.hasFreeSlot(now) || slices.Contains(req.avoid, srv.name) {
+		if !srv.hasFreeSlot(now) || slices.Contains(req.avoid, srv.name) || srv.paused(from.entry, now) {
 			continue
 		}
 		cost, usable := s.cost(req, from, srv, view, now)
@@ -113,9 +113,9 @@
 func (s *scheduler) placeRegardless(req request, retryAfter time.Duration, now time.Time) placement {
 	var best *server
 	lowest := 0.0
-	moment := s.model.At(now)
+	moment, entry := s.model.At(now), s.entry(req.vm)
 	for _, srv := range s.servers {
-		if !srv.hasFreeSlot(now) || slices.Contains(req.avoid, srv.name) {
+		if !srv.hasFreeSlot(now) || slices.Contains(req.avoid, srv.name) || srv.paused(entry, now) {
 			continue
 		}
 		if cost := moment.Probability(srv.estimate) + shedCost*srv.shedShare(now); best == nil || cost < lowest {
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -76,6 +76,7 @@
 	result := health.Result{
 		Kind: health.Kind(m.GetResult()), Latency: time.Duration(m.GetLatencyMicros()) * time.Microsecond, Cold: m.GetCold(),
 		Limit: limitOfWire(m.GetLimit()), Label: m.GetLabel(),
+		Pause: time.Duration(m.GetPauseMicros()) * time.Microsecond,
 	}
 	b.mu.Lock()
 	h := b.localHolder(m.GetPool())
--- /dev/null
+++ b/pool/pause.go
@@ -0,0 +1,111 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/dottereldeal/dottereldeal/fleet"
+	"github.com/dottereldeal/dottereldeal/health"
+)
+
+// This file keeps the pauses that servers name when they reject requests. A pause is between one
+// entry and one server: it says that the server has no room for that entry, and the share of
+// rejections (server.shed) steers the others. It ends with the time named, or with the next start
+// of the server.
+
+// pause notes that the server wants nothing from an entry until a time.
+func (srv *server) pause(entry int, until time.Time) {
+	if srv.pauses == nil {
+		srv.pauses = make(map[int]time.Time)
+	}
+	if until.After(srv.pauses[entry]) {
+		srv.pauses[entry] = until
+	}
+}
+
+// paused reports whether the server wants nothing from an entry at present.
+func (srv *server) paused(entry int, now time.Time) bool {
+	if len(srv.pauses) == 0 {
+		return false
+	}
+	until, known := srv.pauses[entry]
+	if known && !now.Before(until) {
+		delete(srv.pauses, entry)
+		return false
+	}
+	return known
+}
+
+// recordPause notes the pause that a server has named to an entry.
+func (s *scheduler) recordPause(vm string, srv *server, r health.Result, now time.Time) {
+	if r.Pause > 0 {
+		srv.pause(s.entry(vm), now.Add(r.Pause))
+	}
+}
+
+// allPaused returns the time until the first server wants something from an entry again, if none
+// does at present.
+func (s *scheduler) allPaused(vm string, now time.Time) (time.Duration, bool) {
+	entry := s.entry(vm)
+	var shortest time.Duration
+	for _, srv := range s.servers {
+		if !srv.paused(entry, now) {
+			return 0, false
+		}
+		if left := srv.pauses[entry].Sub(now); shortest == 0 || left < shortest {
+			shortest = left
+		}
+	}
+	return shortest, len(s.servers) > 0
+}
+
+// localPause is the pause that a server has named to this VM.
+type localPause struct {
+	until time.Time
+	boot  uint64
+}
+
+// left returns the rest of the pause of a server, 0 if there is none.
+func (p localPause) left(t fleet.Target, now time.Time) time.Duration {
+	if p.boot != t.Boot {
+		return 0
+	}
+	return max(0, p.until.Sub(now))
+}
+
+// recordPause notes the pause that a server has named to this VM.
+func (cs *cellState) recordPause(t fleet.Target, r health.Result, now time.Time) {
+	if r.Pause <= 0 {
+		return
+	}
+	if s := cs.server(t.Name); s.pause.left(t, now) < r.Pause {
+		s.pause = localPause{now.Add(r.Pause), t.Boot}
+	}
+}
+
+// pauseLeft returns the rest of the pause that a server has named to this VM.
+func (cs *cellState) pauseLeft(t fleet.Target, now time.Time) time.Duration {
+	if s := cs.servers[t.Name]; s != nil {
+		return s.pause.left(t, now)
+	}
+	return 0
+}
+
+// withoutPaused returns the servers that want requests from this VM. If there are none, it
+// returns the time until the first one does.
+func (cs *cellState) withoutPaused(targets []fleet.Target, now time.Time) (kept []fleet.Target, shortest time.Duration) {
+	kept = make([]fleet.Target, 0, len(targets))
+	for _, t := range targets {
+		left := cs.pauseLeft(t, now)
+		if left == 0 {
+			kept = append(kept, t)
+			continue
+		}
+		if shortest == 0 || left < shortest {
+			shortest = left
+		}
+	}
+	if len(kept) > 0 {
+		shortest = 0
+	}
+	return kept, shortest
+}
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -28,12 +28,25 @@
 		if ok {
 			return choice, nil
 		}
+		if pause := b.allPaused(b.homeCell(pool)); pause > 0 {
+			return pick.Choice{}, &OverloadError{RetryAfter: pause}
+		}
 		if wait == nil || !b.awaitPermit(ctx, wait) {
 			return pick.Choice{}, pick.ErrNoServer
 		}
 	}
 }
 
+// allPaused returns the time until the first server of a cell wants a request from this VM, 0 if
+// one does now.
+func (b *Balancer) allPaused(cell string) time.Duration {
+	targets := b.cellServers(cell)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, shortest := b.cellState(cell).withoutPaused(targets, b.options.Clock.Now())
+	return shortest
+}
+
 // HedgeDelay returns the time after which a request to the pool should be hedged.
 func (b *Balancer) HedgeDelay(pool string) time.Duration {
 	b.mu.Lock()
@@ -58,6 +71,8 @@
 	defer b.mu.Unlock()
 	now := b.options.Clock.Now()
 	cs := b.cellState(cell)
+	total := len(targets)
+	targets, _ = cs.withoutPaused(targets, now)
 	warm, cold := cs.splitCold(targets, now)
 	b.requestPermit(cs, len(cold) > 0, now)
 	if name, ok := cs.permits.take(now); ok {
@@ -68,7 +83,7 @@
 		}
 		cs.permits.unused = append(cs.permits.unused, name)
 	}
-	warm = cs.withoutEjected(warm, len(targets), settings.Floor)
+	warm = cs.withoutEjected(warm, total, settings.Floor)
 	warm = withoutTried(warm, r.Avoid)
 	warm = cs.withoutFailing(warm, settings.Floor, now)
 	warm, limited := cs.withinLimits(warm, b.limitShare(), now)
@@ -192,6 +207,7 @@
 	s := cs.server(target)
 	delete(s.inFlight, id)
 	s.recordResult(r, now)
+	cs.recordPause(t, r, now)
 	if r.Leaving {
 		s.leavingBoot = t.Boot
 	}
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/dottereldeal/dottereldeal/fleet"
 	"github.com/dottereldeal/dottereldeal/health"
 	"github.com/dottereldeal/dottereldeal/pick"
 	"github.com/dottereldeal/dottereldeal/wire"
@@ -185,12 +186,16 @@
 		b.releaseSlot(cell, holder, id, health.Result{})
 		return pick.Choice{}, false
 	}
+	if left := b.pauseLeft(cell, t); left > 0 {
+		b.releaseSlot(cell, holder, id, health.Result{Pause: left})
+		return pick.Choice{}, false
+	}
 	return pick.Choice{Target: t, RetryCounted: true, Done: func(r health.Result) {
 		if r.Leaving {
 			b.markLeaving(t.Pool, t.Name, t.Boot)
 			r.LeavingBoot = t.Boot
 		}
-		b.finishPlaced(cell, t.Name, r)
+		b.finishPlaced(cell, t, r)
 		if r.Kind == health.Torn {
 			r.Label = label
 		}
@@ -200,20 +205,29 @@
 
 // finishPlaced records the result of a request that a holder has placed, for choices of
 // this VM alone. It is not part of the reports to the holder, which receives it by itself.
-func (b *Balancer) finishPlaced(cell, target string, r health.Result) {
+func (b *Balancer) finishPlaced(cell string, t fleet.Target, r health.Result) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	cs := b.cellState(cell)
-	cs.server(target).recordLocally(r, b.options.Clock.Now())
+	cs, now := b.cellState(cell), b.options.Clock.Now()
+	cs.server(t.Name).recordLocally(r, now)
+	cs.recordPause(t, r, now)
 	if r.Kind == health.OK {
 		cs.latency.add(r.Latency)
 	}
 }
 
+// pauseLeft returns the rest of the pause that a server has named to this VM. The holder may not
+// know of it yet.
+func (b *Balancer) pauseLeft(cell string, t fleet.Target) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.cellState(cell).pauseLeft(t, b.options.Clock.Now())
+}
+
 // releaseSlot reports the result of a request to the holder, which frees its slot. An
 // empty result means that the request was not sent.
 func (b *Balancer) releaseSlot(cell, holder string, id uint64, r health.Result) {
-	m := &wire.SlotDone{Pool: cell, Id: id, Result: string(r.Kind), LatencyMicros: uint64(r.Latency.Microseconds()), Cold: r.Cold, Limit: limitToWire(r.Limit), Label: r.Label, LeavingBoot: r.LeavingBoot}
+	m := &wire.SlotDone{Pool: cell, Id: id, Result: string(r.Kind), LatencyMicros: uint64(r.Latency.Microseconds()), Cold: r.Cold, Limit: limitToWire(r.Limit), Label: r.Label, LeavingBoot: r.LeavingBoot, PauseMicros: uint64(r.Pause.Microseconds())}
 	if holder == b.options.VM {
 		b.receiveSlotDone(holder, m, b.options.Clock.Now())
 		return
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -218,9 +218,14 @@
 		return s.assign(req, srv, now)
 	}
 	_, possible := s.queueWait(req, now)
+	pause, paused := s.allPaused(req.vm, now)
+	possible = possible && !paused
 	if to, ok := s.otherCell(req, possible, now); ok {
 		return placement{request: req, forward: to}
 	}
+	if paused {
+		return placement{request: req, retryAfter: min(max(pause, minRetryAfter), maxRetryAfter)}
+	}
 	if !possible {
 		return s.placeRegardless(req, s.retryAfter(len(s.queue), s.servedPerSecond(now)), now)
 	}
@@ -363,6 +368,7 @@
 		return "", false
 	}
 	s.release(key, a)
+	s.recordPause(key.vm, a.server, r, now)
 	a.server.recordLimit(r.Limit, a.since, now)
 	if r.Kind == "" {
 		a.server.throttle.giveBack()
--- a/pool/server.go
+++ b/pool/server.go
@@ -33,6 +33,8 @@
 	overdueRequest overdueRequest
 	// blames are the latest failures, which may be those of entries that are cut off.
 	blames []blame
+	// pauses holds, by entry, the time until which the server wants nothing from it.
+	pauses map[int]time.Time
 	// contacts holds the time at which each entry last received an answer from the server.
 	contacts []time.Time
 }
@@ -123,7 +125,7 @@
 	if len(s.entries) >= maxEntries {
 		clear(s.entries)
 		for _, srv := range s.servers {
-			srv.contacts = nil
+			srv.contacts, srv.pauses = nil, nil
 		}
 	}
 	position = len(s.entries)
@@ -150,6 +152,7 @@
 		}
 		if !known || srv.boot != t.Boot {
 			srv.estimate, srv.boot, srv.throttle = health.NewEstimate(s.model, now), t.Boot, nil
+			srv.pauses = nil
 		}
 		if perSecond, limited := s.assumedLimits[t.Name]; limited {
 			srv.throttle = newThrottle(perSecond, now)
--- a/pool/stats.go
+++ b/pool/stats.go
@@ -38,6 +38,9 @@
 	// leavingBoot is set if the holder must hear that the server has said that it leaves.
 	leavingBoot uint64
 
+	// pause is what the server has named to this VM.
+	pause localPause
+
 	failures   int
 	avoidUntil time.Time
 	coldUntil  time.Time
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -33,6 +33,8 @@
 	limit health.Limit
 	// leaving is set if the response says that the backend server leaves.
 	leaving bool
+	// pause is the time for which the backend server wants no further request from this VM.
+	pause time.Duration
 }
 
 // rejectedRetryAfter is the shortest retry delay after all attempts of a request were rejected
@@ -106,6 +108,7 @@
 	if rejected {
 		if kind == health.Shed {
 			a.readStatements(response.Header)
+			a.readPause(response)
 		}
 		response.Body.Close()
 		a.report(kind, time.Since(started))
@@ -221,7 +224,7 @@
 func (a *attempt) report(kind health.Kind, latency time.Duration) {
 	a.exchange.handler.metrics.attempts.WithLabelValues(string(kind)).Inc()
 	a.logAttempt(kind, latency, a.detail)
-	a.choice.Done(health.Result{Kind: kind, Latency: latency, Cold: a.cold, Limit: a.limit, Leaving: a.leaving})
+	a.choice.Done(health.Result{Kind: kind, Latency: latency, Cold: a.cold, Limit: a.limit, Leaving: a.leaving, Pause: a.pause})
 }
 
 // targetURL returns the request's URL with the address of a backend server.
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -468,3 +468,37 @@
 		is.Equal((<-results).Leaving, want) // leaving
 	}
 }
+
+// A refusal of a backend server may name a pause, in seconds or as a date. What is no time says
+// nothing, and an endless one is bounded.
+func TestPauseOfARefusalIsReadAndBounded(t *testing.T) {
+	is := is.New(t)
+	soon := time.Now().Add(30 * time.Second).UTC().Format(http.TimeFormat)
+	for text, want := range map[string][2]time.Duration{
+		"2": {2 * time.Second, 2 * time.Second}, "0.25": {250 * time.Millisecond, 250 * time.Millisecond}, "": {}, "-1": {}, "soon": {}, "NaN": {}, "0": {},
+		"1e300": {10 * time.Minute, 10 * time.Minute}, "Inf": {10 * time.Minute, 10 * time.Minute}, soon: {20 * time.Second, 30 * time.Second},
+		"Mon, 02 Jan 2006 15:04:05 GMT": {},
+	} {
+		for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests} {
+			backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if text != "" {
+					w.Header().Set("Retry-After", text)
+				}
+				w.Header().Set(proxy.ShedHeader, "1")
+				w.WriteHeader(status)
+			}))
+			defer backend.Close()
+			results := make(chan health.Result, 8)
+			picker := pickerFunc(func() pick.Choice {
+				return pick.Choice{Target: fleet.Target{Name: "b1", Addr: backend.Listener.Addr().String()}, Done: func(r health.Result) { results <- r }}
+			})
+			send(t, http.MethodPost, serve(t, picker).URL+"/once/1", nil, nil)
+			got := (<-results).Pause
+			if status != http.StatusServiceUnavailable {
+				is.Equal(got, time.Duration(0)) // only a 503 names a pause
+				continue
+			}
+			is.True(got >= want[0] && got <= want[1])
+		}
+	}
+}
--- a/proxy/statement.go
+++ b/proxy/statement.go
@@ -20,10 +20,39 @@
 var (
 	// errInvalidLimit means that a response names a limit that is not a rate.
 	errInvalidLimit = errors.New("the limit is not a non-negative decimal number")
+	// errInvalidPause means that a refusal names a pause that is not a time.
+	errInvalidPause = errors.New("the pause is neither a non-negative number of seconds nor a date")
 	// errInvalidLeaving means that a response does not say clearly that its server leaves.
 	errInvalidLeaving = errors.New("the value is not 1")
 )
 
+const (
+	// retryAfterHeader names, on refusals, the time for which a backend server wants no further
+	// request from this VM.
+	retryAfterHeader = "Retry-After"
+	// maxPause bounds that time.
+	maxPause = 10 * time.Minute
+)
+
+// pause returns the time for which the backend server of a refusal wants no further request.
+func pause(h http.Header, now time.Time) (time.Duration, error) {
+	values := h.Values(retryAfterHeader)
+	switch {
+	case len(values) == 0:
+		return 0, nil
+	case len(values) > 1:
+		return 0, errInvalidPause
+	}
+	if at, err := http.ParseTime(values[0]); err == nil {
+		return min(max(0, at.Sub(now)), maxPause), nil
+	}
+	seconds, err := strconv.ParseFloat(values[0], 64)
+	if math.IsNaN(seconds) || seconds < 0 || err != nil && !math.IsInf(seconds, 1) {
+		return 0, errInvalidPause
+	}
+	return time.Duration(min(seconds, maxPause.Seconds()) * float64(time.Second)), nil
+}
+
 // leavingValue is the value with which a backend server says that it leaves.
 const leavingValue = "1"
 
@@ -65,6 +94,17 @@
 	}
 }
 
+// readPause reads the pause that a refusal names. An invalid one says nothing.
+func (a *attempt) readPause(r *http.Response) {
+	if r.StatusCode != http.StatusServiceUnavailable {
+		return
+	}
+	var err error
+	if a.pause, err = pause(r.Header, a.exchange.handler.options.Clock.Now()); err != nil {
+		a.logInvalid(retryAfterHeader, r.Header, err)
+	}
+}
+
 // logInvalid logs an invalid header of a backend server, once in a while.
 func (a *attempt) logInvalid(name string, header http.Header, reason error) {
 	h := a.exchange.handler
