Do not let net/http send a request again behind the retry budget

Bodies of all requests have a type that net/http cannot rewind now; the retry loop decides.

TestRequestsAreNotSentAgainBehindTheRetryBudget saw a second connection before.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -86,7 +86,7 @@
 		URL:           x.targetURL(a.choice.Target.Addr),
 		Host:          x.request.Host,
 		Header:        x.outgoingHeader(deadline.remaining(), a.choice.Target.Name),
-		Body:          x.body.newReader(ctx, x.route.Idempotent, x.handler.sent),
+		Body:          x.body.newReader(ctx, x.handler.sent),
 		ContentLength: x.body.length,
 	}).WithContext(httptrace.WithClientTrace(ctx, trace))
 	transport := transports.keepAlive
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -97,13 +97,10 @@
 // send it at the same time.
 func (b *requestBody) buffered() bool { return b.stream == nil }
 
-// newReader returns a reader for one attempt. For non-idempotent requests the type of
-// the reader prevents net/http from retrying on its own, which it does for requests
-// without a body and for bodies that it can rewind.
-func (b *requestBody) newReader(ctx context.Context, idempotent bool, sent *pacer) io.ReadCloser {
-	if b.length == 0 && idempotent {
-		return http.NoBody
-	}
+// newReader returns a reader for one attempt. The type of the reader prevents net/http from
+// retrying on its own, which it does for requests without a body and for bodies that it can
+// rewind: no retry budget and no evidence of crashes would count that.
+func (b *requestBody) newReader(ctx context.Context, sent *pacer) io.ReadCloser {
 	if b.stream != nil {
 		// The bytes are sent as they are received, at the same rate.
 		return &streamedBody{reader: pacedReader{ctx: ctx, reader: b.stream, pacer: sent}, body: b}
--- a/proxy/retry_test.go
+++ b/proxy/retry_test.go
@@ -1,9 +1,13 @@
 package proxy_test
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -74,3 +78,27 @@
 	is.True(reached <= 3)
 	is.True(response.Header.Get(proxy.OutcomeHeader) != string(proxy.NotRun))
 }
+
+// A reused connection breaks when a request that may run twice has been sent on it. net/http sent
+// such a request again by itself, so that it arrived without being counted by any retry budget,
+// and ran again at a server that it may have crashed.
+func TestRequestsAreNotSentAgainBehindTheRetryBudget(t *testing.T) {
+	is := is.New(t)
+	var arrivals atomic.Int64
+	backend := startKeepAliveServer(t, func(_ int64, conn *net.TCPConn, reader *bufio.Reader) {
+		if _, err := http.ReadRequest(reader); err == nil {
+			arrivals.Add(1)
+		}
+		conn.SetLinger(0)
+	})
+	picker := &sequentialPicker{targets: []fleet.Target{backend.target("b1"), backend.target("b1")}}
+	server := serve(t, picker, keepAliveOptions()...)
+	first := send(t, http.MethodGet, server.URL+"/read/1", nil, http.Header{idHeader: {"one"}})
+	is.Equal(first.StatusCode, http.StatusOK)
+	io.Copy(io.Discard, first.Body)
+	second := send(t, http.MethodGet, server.URL+"/read/2", nil, http.Header{idHeader: {"two"}})
+	is.Equal(arrivals.Load(), int64(1))
+	is.Equal(backend.firstResponses.Load(), int64(1)) // no other connection was opened
+	is.Equal(second.StatusCode, http.StatusBadGateway)
+	is.Equal(second.Header.Get(proxy.OutcomeHeader), string(proxy.Unknown))
+}
