Divide the scheduler and the relay by job, and keep messages until an entry is assembled

Found while reading the change once more.

- The scheduler's queue, and the choice and the probes of relays, have files of their own; functions are moved, not changed.
- A message or a tunnel may arrive as soon as an entry has its links, before its other parts are set: it waits for them now.
Not seen to fail.
- Evidence of crashes from requests that an entry placed by itself was dropped if no holder was known at that time; it waits for one.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -69,6 +69,8 @@
 	pools     *pool.Balancer
 	claims    *claim.Manager
 	relay     *relay.Dialer
+	// assembled is closed once all parts are set. Messages may arrive before.
+	assembled chan struct{}
 	config    atomic.Pointer[proxy.Config]
 	proxy     *proxy.Handler
 
@@ -82,7 +84,7 @@
 
 // New returns an entry, which Run serves.
 func New(l Listeners, opts ...Option) *Entry {
-	e := &Entry{options: newOptions(opts...), listeners: l}
+	e := &Entry{options: newOptions(opts...), listeners: l, assembled: make(chan struct{})}
 	e.entryCounter.started = e.options.Clock.Now()
 	e.config.Store(proxy.NewConfig(state.State{}))
 	e.link = link.New(l.Links,
@@ -123,6 +125,7 @@
 		proxy.KeyHeader(e.options.KeyHeader), proxy.KeyQuery(e.options.KeyQuery), proxy.KeyCookie(e.options.KeyCookie),
 		proxy.Meter(e.options.Meter), proxy.KeyGrace(e.options.KeyGrace),
 	}, e.options.ProxyOptions...)...)
+	close(e.assembled)
 	return e
 }
 
@@ -137,6 +140,7 @@
 
 // receive dispatches a message from the links.
 func (e *Entry) receive(from string, m *wire.Envelope) {
+	<-e.assembled
 	for _, receive := range []func(string, *wire.Envelope) bool{
 		e.fleet.Receive, e.leases.Receive, e.limits.Receive, e.pools.Receive, e.claims.Receive,
 	} {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -27,7 +27,10 @@
 }
 
 // serveTunnel connects another entry, which is cut off, to a backend server.
-func (e *Entry) serveTunnel(from, addr string, conn net.Conn) { e.relay.Serve(from, addr, conn) }
+func (e *Entry) serveTunnel(from, addr string, conn net.Conn) {
+	<-e.assembled
+	e.relay.Serve(from, addr, conn)
+}
 
 // serverAddrs returns the addresses of the backend servers that may receive requests.
 func (e *Entry) serverAddrs() []string {
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -227,7 +227,10 @@
 // releaseSlot reports the result of a request to the holder, which frees its slot. An
 // empty result means that the request was not sent.
 func (b *Balancer) releaseSlot(cell, holder string, id uint64, r health.Result) {
-	m := &wire.SlotDone{Pool: cell, Id: id, Result: string(r.Kind), LatencyMicros: uint64(r.Latency.Microseconds()), Cold: r.Cold, Limit: limitToWire(r.Limit), Label: r.Label, LeavingBoot: r.LeavingBoot, PauseMicros: uint64(r.Pause.Microseconds())}
+	m := &wire.SlotDone{
+		Pool: cell, Id: id, Result: string(r.Kind), LatencyMicros: uint64(r.Latency.Microseconds()), Cold: r.Cold, Limit: limitToWire(r.Limit),
+		Label: r.Label, LeavingBoot: r.LeavingBoot, PauseMicros: uint64(r.Pause.Microseconds()),
+	}
 	if holder == b.options.VM {
 		b.receiveSlotDone(holder, m, b.options.Clock.Now())
 		return
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -151,8 +151,10 @@
 	b.forgetLeaving()
 	for name, cs := range b.cellStates {
 		outcomes := reportsToWire(name, cs.report(now))
-		outcomes.Torn, outcomes.Cleared = cs.torn, printsToWire(cs.cleared)
-		cs.torn, cs.cleared = nil, nil
+		if _, known := b.holderVM(name); known {
+			outcomes.Torn, outcomes.Cleared = cs.torn, printsToWire(cs.cleared)
+			cs.torn, cs.cleared = nil, nil
+		}
 		if len(outcomes.GetTargets())+len(outcomes.GetTorn())+len(outcomes.GetCleared()) > 0 {
 			pending = append(pending, pendingReport{name, outcomes})
 		}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -12,8 +11,6 @@
 )
 
 const (
-	// maxQueue limits the queued requests of a pool.
-	maxQueue = 512
 	// abandonedAfter is how long after its deadline a request still occupies its slot if its
 	// entry has not reported a result.
 	abandonedAfter = time.Second
@@ -64,9 +61,6 @@
 	initialServiceTime = 200 * time.Millisecond
 	// serviceTimeWeight is the weight of one answer in the average service time.
 	serviceTimeWeight = 0.05
-	// minRetryAfter and maxRetryAfter bound the retry delay returned for a rejected request.
-	minRetryAfter = 50 * time.Millisecond
-	maxRetryAfter = time.Second
 )
 
 // request is a request that needs a backend server.
@@ -279,86 +273,6 @@
 	return placement{request: req, target: srv.name}
 }
 
-// queueWait estimates how long a request would wait in the queue, and reports whether it
-// could still be answered before its deadline.
-func (s *scheduler) queueWait(req request, now time.Time) (time.Duration, bool) {
-	served := s.servedPerSecond(now)
-	ahead, late := 1, 0
-	for _, other := range s.queue {
-		switch {
-		case other.rank > req.rank:
-		case s.inTime(other, now):
-			ahead++
-		default:
-			late++
-		}
-	}
-	wait := s.backlog.wait(ahead, served, true)
-	if now.Add(wait + s.serviceTime).After(req.objective) {
-		// It will lose its place to requests that can still meet their objective.
-		wait = s.backlog.wait(ahead+late, served, false)
-	}
-	possible := len(s.servers) > 0 && len(s.queue) < maxQueue && now.Add(wait+s.serviceTime).Before(req.deadline)
-	return wait, possible
-}
-
-// servedPerSecond returns the rate at which slots become free while all of them are in use.
-func (s *scheduler) servedPerSecond(now time.Time) float64 {
-	served := 0.0
-	moment := s.model.At(now)
-	for _, srv := range s.servers {
-		if moment.Probability(srv.estimate) <= maxGrayNonIdempotent {
-			served += srv.servedPerSecond(s.serviceTime)
-		}
-	}
-	if served == 0 {
-		return 1 / max(s.serviceTime, time.Millisecond).Seconds()
-	}
-	return served
-}
-
-// inTime reports whether a request that gets a slot now can meet its objective.
-func (s *scheduler) inTime(req request, now time.Time) bool {
-	return now.Add(s.serviceTime).Before(req.objective)
-}
-
-// rejectHopeless removes the queued requests that will not get a slot before it is too late.
-func (s *scheduler) rejectHopeless(now time.Time) []placement {
-	s.backlog.advance(now)
-	if len(s.queue) == 0 {
-		return nil
-	}
-	served := s.servedPerSecond(now)
-	inTime, late := 0, 0
-	for _, req := range s.queue {
-		if s.inTime(req, now) {
-			inTime++
-		}
-	}
-	var placements []placement
-	s.queue = slices.DeleteFunc(s.queue, func(req request) bool {
-		if s.inTime(req, now) {
-			return false
-		}
-		late++
-		wait := s.backlog.wait(inTime+late, served, false)
-		if now.Add(wait + s.serviceTime).Before(req.deadline) {
-			return false
-		}
-		late--
-		placements = append(placements, placement{request: req, retryAfter: s.retryAfter(inTime, served)})
-		return true
-	})
-	return placements
-}
-
-// retryAfter returns the retry delay of a rejected request: the time after which those ahead
-// of it have got their slots, spread so that callers do not return together.
-func (s *scheduler) retryAfter(ahead int, served float64) time.Duration {
-	wait := max(s.backlog.wait(ahead+1, served, true), minRetryAfter)
-	return min(wait+rand.N(wait), maxRetryAfter)
-}
-
 // done frees the slot of a request and returns its server, or removes the request from the
 // queue. An empty kind means that the request was not sent.
 func (s *scheduler) done(key requestKey, r health.Result, now time.Time) (target string, assigned bool) {
@@ -442,105 +356,3 @@
 	}
 	return slices.Concat(s.placeQueued(view, now), s.moveQueued(now), s.rejectHopeless(now))
 }
-
-// moveQueued leaves queued requests to cells that have free slots, the most urgent first.
-func (s *scheduler) moveQueued(now time.Time) []placement {
-	var placements []placement
-	for {
-		best := -1
-		for i, req := range s.queue {
-			if !req.forwarded && !s.mustWait(req) && (best < 0 || s.precedes(req, s.queue[best], now)) {
-				best = i
-			}
-		}
-		if best < 0 {
-			return placements
-		}
-		to, ok := s.overflow.withFreeSlot(now)
-		if !ok {
-			return placements
-		}
-		placements = append(placements, placement{request: s.queue[best], forward: to})
-		s.queue = slices.Delete(s.queue, best, best+1)
-	}
-}
-
-// placeQueued assigns queued requests to free slots. Requests that can no longer be
-// answered in time are sent to any server or rejected, and all are if no server is left.
-func (s *scheduler) placeQueued(view poolView, now time.Time) []placement {
-	if len(s.queue) == 0 {
-		return nil
-	}
-	s.sync(view, now)
-	placements := s.rejectQuarantined(now)
-	s.queue = slices.DeleteFunc(s.queue, func(req request) bool {
-		late := now.Add(s.serviceTime).After(req.deadline)
-		if !late && len(s.servers) > 0 {
-			return false
-		}
-		if s.mustWait(req) {
-			placements = append(placements, placement{request: req, retryAfter: minRetryAfter})
-			return true
-		}
-		if to, ok := s.otherCell(req, true, now); ok {
-			placements = append(placements, placement{request: req, forward: to})
-		} else {
-			placements = append(placements, s.placeRegardless(req, s.retryAfter(0, s.servedPerSecond(now)), now))
-		}
-		return true
-	})
-	view.belowFloor = s.belowFloor(view, now)
-	for len(s.queue) > 0 {
-		free := s.withFreeSlot(now)
-		if len(free) == 0 {
-			return placements
-		}
-		at, srv := s.nextQueued(free, view, now)
-		if at < 0 {
-			return placements
-		}
-		req := s.queue[at]
-		s.queue = slices.Delete(s.queue, at, at+1)
-		placements = append(placements, s.assign(req, srv, now))
-	}
-	return placements
-}
-
-// withFreeSlot returns the servers that have a free slot, until the next call.
-func (s *scheduler) withFreeSlot(now time.Time) []*server {
-	s.free = s.free[:0]
-	for _, srv := range s.servers {
-		if srv.hasFreeSlot(now) {
-			s.free = append(s.free, srv)
-		}
-	}
-	return s.free
-}
-
-// nextQueued returns the queue position and the server of the request to place next: the
-// most urgent one, then one that can still meet its objective, then one of the workspace
-// with the fewest requests running, then the oldest.
-func (s *scheduler) nextQueued(free []*server, view poolView, now time.Time) (int, *server) {
-	best := -1
-	var selected *server
-	for i, req := range s.queue {
-		if best >= 0 && !s.precedes(req, s.queue[best], now) || s.mustWait(req) {
-			continue
-		}
-		if srv := s.selectServer(req, free, view, now); srv != nil {
-			best, selected = i, srv
-		}
-	}
-	return best, selected
-}
-
-// precedes reports whether request a is placed before b, which arrived earlier.
-func (s *scheduler) precedes(a, b request, now time.Time) bool {
-	if a.rank != b.rank {
-		return a.rank < b.rank
-	}
-	if s.inTime(a, now) != s.inTime(b, now) {
-		return s.inTime(a, now)
-	}
-	return s.running[a.workspace] < s.running[b.workspace]
-}
--- a/pool/suspect.go
+++ b/pool/suspect.go
@@ -91,7 +91,7 @@
 	switch kind {
 	case health.OK, health.Failed:
 		b.guard.Alive(t.Name, t.Boot, sent)
-		if b.guard.Answered(localCell, req.Print, now) {
+		if b.guard.Answered(localCell, req.Print, now) && len(cs.cleared) < guard.MaxPublished {
 			cs.cleared = append(cs.cleared, req.Print)
 		}
 	case health.Torn:
--- a/relay/path.go
+++ b/relay/path.go
@@ -45,9 +45,8 @@
 	successes int
 	// needed is the number of successes that end the present cut, returnedAt the end of the
 	// previous one.
-	needed      int
-	returnedAt  time.Time
-	lastRelayed time.Time
+	needed     int
+	returnedAt time.Time
 	// lastRead is when bytes last arrived from a server without a relay.
 	lastRead time.Time
 	// relayFailures is the time of the first failure of a relay since the last success.
@@ -57,7 +56,7 @@
 func newPath() path { return path{failures: make(map[string]time.Time)} }
 
 // connected notes a connection that was established without a relay.
-func (p *path) connected(time.Time) {
+func (p *path) connected() {
 	clear(p.failures)
 	p.suspected = false
 }
@@ -65,7 +64,8 @@
 // failed notes a connection that could not be established without a relay.
 func (p *path) failed(addr string, now time.Time) { p.failures[addr] = now }
 
-func (p *path) relayed(now time.Time) { p.lastRelayed, p.relayFailures = now, time.Time{} }
+// relayed and relayFailed note whether a relay has connected to a server.
+func (p *path) relayed() { p.relayFailures = time.Time{} }
 
 func (p *path) relayFailed(now time.Time) {
 	if p.relayFailures.IsZero() {
--- a/relay/path_test.go
+++ b/relay/path_test.go
@@ -30,7 +30,7 @@
 		if now.Sub(lastDial) >= l.dialEvery && !p.cutOff {
 			lastDial = now
 			if s := next(); l.reachable(s, now) {
-				p.connected(now)
+				p.connected()
 			} else {
 				p.failed(fmt.Sprint(s), now)
 			}
--- /dev/null
+++ b/relay/probe.go
@@ -0,0 +1,108 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dottereldeal/dottereldeal/event"
+)
+
+// Tick finds out whether this VM is cut off, and drops idle tunnels through entries that stop.
+func (d *Dialer) Tick(now time.Time) {
+	usable := make(map[string]bool)
+	cutOff := 0
+	for _, m := range d.options.Members() {
+		usable[m.VM] = m.Eligible() && !m.CutOff
+		if m.CutOff && m.VM != d.options.VM {
+			cutOff++
+		}
+	}
+	quietAfter := d.options.QuietAfter()
+	d.mu.Lock()
+	lost := false
+	for vm := range d.open {
+		lost = lost || !usable[vm]
+	}
+	for vm, at := range d.failedRelays {
+		if now.Sub(at) >= relayFailureTTL {
+			delete(d.failedRelays, vm)
+		}
+	}
+	suspicious := d.quietLocked(quietAfter, now) || cutOff > d.othersCutOff
+	d.othersCutOff = cutOff
+	probe := d.path.probeDue(suspicious, now)
+	d.mu.Unlock()
+	if lost {
+		d.options.CloseIdle()
+	}
+	if probe {
+		go d.probe()
+	}
+}
+
+// probe dials a few servers at once, and decides by that whether this VM is cut off.
+func (d *Dialer) probe() {
+	addrs := d.options.Servers()
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	addrs = addrs[:min(len(addrs), d.probeCount())]
+	results := make(chan error, len(addrs))
+	for _, addr := range addrs {
+		go func() {
+			conn, err := d.connect(context.Background(), addr, connectTimeout)
+			if err == nil {
+				conn.Close()
+			}
+			results <- err
+		}()
+	}
+	reached, timedOut := 0, false
+	for range addrs {
+		err := <-results
+		if err == nil {
+			reached++
+		}
+		var netErr net.Error
+		timedOut = timedOut || errors.As(err, &netErr) && netErr.Timeout()
+	}
+	d.mu.Lock()
+	changed := d.path.probed(len(addrs), reached, d.options.Clock.Now())
+	cutOff := d.path.cutOff
+	d.mu.Unlock()
+	if changed {
+		d.announce(cutOff, timedOut)
+	}
+}
+
+// probeCount returns the number of servers to dial. One is enough while nothing is known to be
+// wrong, and to see whether a cut has ended.
+func (d *Dialer) probeCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.path.probeCount()
+}
+
+// announce tells all entries whether this one is cut off.
+func (d *Dialer) announce(cutOff, silent bool) {
+	if !cutOff {
+		d.options.EventLog.Record(event.BackendsReached, d.options.VM, "")
+		d.options.Changed(false)
+		return
+	}
+	d.options.EventLog.Record(event.BackendsLost, d.options.VM, d.detail())
+	d.options.Changed(true)
+	if silent {
+		// Idle connections lead nowhere. If new connections are refused instead, old ones may
+		// well go on.
+		d.options.CloseIdle()
+	}
+}
+
+func (d *Dialer) detail() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.path.reason
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -24,15 +24,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
-
-	"github.com/dottereldeal/dottereldeal/event"
 )
 
 const (
@@ -216,7 +212,7 @@
 		}
 		return nil, err
 	}
-	d.path.connected(now)
+	d.path.connected()
 	return d.track(conn), nil
 }
 
@@ -226,178 +222,6 @@
 	return d.options.Connect(ctx, addr)
 }
 
-// dialTunnel connects to a backend server through one relay after another.
-func (d *Dialer) dialTunnel(ctx context.Context, addr string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, tunnelTimeout)
-	defer cancel()
-	failure := ErrNoRelay
-	var tried []string
-	for range maxRelays {
-		vm, ok := d.chooseRelay(tried)
-		if !ok {
-			break
-		}
-		tried = append(tried, vm)
-		conn, err := d.openTunnel(ctx, vm, addr)
-		d.recordTunnel(vm, err)
-		if err == nil {
-			return conn, nil
-		}
-		failure = errors.Wrap(err, vm)
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	return nil, failure
-}
-
-// chooseRelay returns an entry that is believed to reach the backend servers and has not been
-// tried.
-func (d *Dialer) chooseRelay(tried []string) (string, bool) {
-	members := d.options.Members()
-	now := d.options.Clock.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var usable, near []string
-	for _, m := range members {
-		failed, known := d.failedRelays[m.VM]
-		if m.VM != d.options.VM && m.Eligible() && !m.CutOff && !slices.Contains(tried, m.VM) && (!known || now.Sub(failed) >= relayFailureTTL) {
-			usable = append(usable, m.VM)
-			if m.DataCentre == d.options.DataCentre {
-				near = append(near, m.VM)
-			}
-		}
-	}
-	if len(near) > 0 {
-		usable = near
-	}
-	d.preferred = slices.DeleteFunc(d.preferred, func(vm string) bool { return !slices.Contains(usable, vm) })
-	if len(d.preferred) >= preferredRelays || len(tried) == 0 && len(d.preferred) > 0 && d.path.cutOff {
-		usable = d.preferred
-	}
-	if len(usable) == 0 {
-		return "", false
-	}
-	return usable[rand.IntN(len(usable))], true
-}
-
-// recordTunnel notes whether a relay has connected to a server.
-func (d *Dialer) recordTunnel(vm string, err error) {
-	now := d.options.Clock.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if err != nil {
-		d.path.relayFailed(now)
-		d.preferred = slices.DeleteFunc(d.preferred, func(other string) bool { return other == vm })
-		if !errors.Is(err, ErrUnreachable) {
-			// That a relay does not reach one server says little about it.
-			d.failedRelays[vm] = now
-		}
-		return
-	}
-	delete(d.failedRelays, vm)
-	d.path.relayed(now)
-	if len(d.preferred) < preferredRelays && !slices.Contains(d.preferred, vm) {
-		d.preferred = append(d.preferred, vm)
-	}
-}
-
-// Tick finds out whether this VM is cut off, and drops idle tunnels through entries that stop.
-func (d *Dialer) Tick(now time.Time) {
-	usable := make(map[string]bool)
-	cutOff := 0
-	for _, m := range d.options.Members() {
-		usable[m.VM] = m.Eligible() && !m.CutOff
-		if m.CutOff && m.VM != d.options.VM {
-			cutOff++
-		}
-	}
-	quietAfter := d.options.QuietAfter()
-	d.mu.Lock()
-	lost := false
-	for vm := range d.open {
-		lost = lost || !usable[vm]
-	}
-	for vm, at := range d.failedRelays {
-		if now.Sub(at) >= relayFailureTTL {
-			delete(d.failedRelays, vm)
-		}
-	}
-	suspicious := d.quietLocked(quietAfter, now) || cutOff > d.othersCutOff
-	d.othersCutOff = cutOff
-	probe := d.path.probeDue(suspicious, now)
-	d.mu.Unlock()
-	if lost {
-		d.options.CloseIdle()
-	}
-	if probe {
-		go d.probe()
-	}
-}
-
-// probe dials a few servers at once, and decides by that whether this VM is cut off.
-func (d *Dialer) probe() {
-	addrs := d.options.Servers()
-	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
-	addrs = addrs[:min(len(addrs), d.probeCount())]
-	results := make(chan error, len(addrs))
-	for _, addr := range addrs {
-		go func() {
-			conn, err := d.connect(context.Background(), addr, connectTimeout)
-			if err == nil {
-				conn.Close()
-			}
-			results <- err
-		}()
-	}
-	reached, timedOut := 0, false
-	for range addrs {
-		err := <-results
-		if err == nil {
-			reached++
-		}
-		var netErr net.Error
-		timedOut = timedOut || errors.As(err, &netErr) && netErr.Timeout()
-	}
-	d.mu.Lock()
-	changed := d.path.probed(len(addrs), reached, d.options.Clock.Now())
-	cutOff := d.path.cutOff
-	d.mu.Unlock()
-	if changed {
-		d.announce(cutOff, timedOut)
-	}
-}
-
-// probeCount returns the number of servers to dial. One is enough while nothing is known to be
-// wrong, and to see whether a cut has ended.
-func (d *Dialer) probeCount() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.path.probeCount()
-}
-
-// announce tells all entries whether this one is cut off.
-func (d *Dialer) announce(cutOff, silent bool) {
-	if !cutOff {
-		d.options.EventLog.Record(event.BackendsReached, d.options.VM, "")
-		d.options.Changed(false)
-		return
-	}
-	d.options.EventLog.Record(event.BackendsLost, d.options.VM, d.detail())
-	d.options.Changed(true)
-	if silent {
-		// Idle connections lead nowhere. If new connections are refused instead, old ones may
-		// well go on.
-		d.options.CloseIdle()
-	}
-}
-
-func (d *Dialer) detail() string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.path.reason
-}
-
 // Close refuses further tunnels of other entries. Open ones go on until they end.
 func (d *Dialer) Close() {
 	d.mu.Lock()
--- a/relay/tunnel.go
+++ b/relay/tunnel.go
@@ -192,7 +192,7 @@
 		d.path.failed(addr, now)
 		return nil, statusUnreachable
 	}
-	d.path.connected(now)
+	d.path.connected()
 	return d.track(conn), statusConnected
 }
 
