Let one function each forget a suspect and name who can relay

Found while reading the change once more; behaviour stays as it is. Two loops of guard dropped the evidence of all cells, two places of relay asked whether a member can relay, and one copied a map by hand.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -175,9 +175,8 @@
 // Answered clears a request to which a complete answer has arrived. It reports whether the
 // request was a suspect.
 func (t *Table) Answered(cell string, p Print, now time.Time) bool {
-	cells := slices.Clone(t.cells[p])
+	cells := t.drop(p)
 	for _, other := range cells {
-		t.remove(key{p, other})
 		if other != cell {
 			t.cleared[key{p, cell}] = now
 		}
@@ -325,10 +324,17 @@
 		}
 	}
 	for _, p := range cleared {
-		for _, other := range slices.Clone(t.cells[p]) {
-			t.remove(key{p, other})
-		}
+		t.drop(p)
+	}
+}
+
+// drop forgets the evidence of all cells against a request, and returns the cells that had some.
+func (t *Table) drop(p Print) []string {
+	cells := slices.Clone(t.cells[p])
+	for _, cell := range cells {
+		t.remove(key{p, cell})
 	}
+	return cells
 }
 
 func (t *Table) add(k key, r *record) {
--- a/relay/choose.go
+++ b/relay/choose.go
@@ -7,6 +7,8 @@
 	"slices"
 
 	"github.com/go-faster/errors"
+
+	"github.com/dottereldeal/dottereldeal/fleet"
 )
 
 // dialTunnel connects to a backend server through one relay after another.
@@ -34,6 +36,9 @@
 	return nil, failure
 }
 
+// canRelay reports whether a member is believed to reach the backend servers.
+func canRelay(m fleet.Member) bool { return m.Eligible() && !m.CutOff }
+
 // chooseRelay returns an entry that is believed to reach the backend servers and has not been
 // tried.
 func (d *Dialer) chooseRelay(tried []string) (string, bool) {
@@ -44,7 +49,7 @@
 	var usable, near []string
 	for _, m := range members {
 		failed, known := d.failedRelays[m.VM]
-		if m.VM != d.options.VM && m.Eligible() && !m.CutOff && !slices.Contains(tried, m.VM) && (!known || now.Sub(failed) >= relayFailureTTL) {
+		if m.VM != d.options.VM && canRelay(m) && !slices.Contains(tried, m.VM) && (!known || now.Sub(failed) >= relayFailureTTL) {
 			usable = append(usable, m.VM)
 			if m.DataCentre == d.options.DataCentre {
 				near = append(near, m.VM)
--- a/relay/probe.go
+++ b/relay/probe.go
@@ -16,7 +16,7 @@
 	usable := make(map[string]bool)
 	cutOff := 0
 	for _, m := range d.options.Members() {
-		usable[m.VM] = m.Eligible() && !m.CutOff
+		usable[m.VM] = canRelay(m)
 		if m.CutOff && m.VM != d.options.VM {
 			cutOff++
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -24,6 +24,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -249,9 +250,5 @@
 func (d *Dialer) Relays() (open map[string]int, served int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	open = make(map[string]int, len(d.open))
-	for vm, n := range d.open {
-		open[vm] = n
-	}
-	return open, d.served
+	return maps.Clone(d.open), d.served
 }
