--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -39,7 +39,7 @@
 	c.traffic(ctx, http.MethodGet, "/lohu930/", 30, 1200*time.Millisecond)
 	op := operator{p.fleet, p.record}
 	const zone = "kagoshima"
-	const limit = 4 * time.Second
+	const limit = ack
 	if _, err := op.order("/Evacuation.Begin/"+zone, "", other, limit); err != nil {
 		return verdict{}, err
 	}
@@ -50,12 +50,13 @@
 	if _, err := op.order("/Evacuation.End/"+zone, "", frozen, limit); err != nil {
 		return verdict{}, err
 	}
-	time.Sleep(500 * time.Millisecond)
+	// Copies of an order are sent for at most ack; later ones than these must not come any more.
+	time.Sleep(time.Until(frozenAt.Add(100*time.Millisecond + ack + 500*time.Millisecond)))
 	acked, err := op.order("/Evacuation.Begin/"+zone, "", other, limit)
 	if err != nil {
 		return verdict{}, err
 	}
-	time.Sleep(time.Until(frozenAt.Add(3500 * time.Millisecond)))
+	time.Sleep(time.Until(frozenAt.Add(7 * time.Second)))
 	p.thaw(frozen)
 	from, to := acked.Add(evacuate+maxStretch), acked.Add(evacuate+maxStretch+10*time.Second)
 	time.Sleep(time.Until(to))
