--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -63,24 +63,22 @@
 	cancel()
 	c.group.Wait()
 	c.writeAll()
+	p.writeArrivals()
 	late := 0
 	for _, t := range p.targets {
 		if t.zone != zone {
 			continue
 		}
-		for _, a := range t.ranAfter(from, to) {
-			late++
-			p.record.logAt(a.at, "target %s in %s runs %s", t.id, zone, a.id)
-		}
+		late += len(t.ranAfter(from, to))
 	}
 	text := fmt.Sprintf("%d requests ran at targets in %s between %.1f s and %.1f s; its evacuation was acknowledged at %.1f s and not taken back",
 		late, zone, p.record.since(from), p.record.since(to), p.record.since(acked))
 	return verdict{broken: late > 0, text: text}, nil
 }
 
-// deregister checks that a target that starts again under its id serves: all targets of a service
-// are replaced in turn, while a control machine that does not lead is frozen. The first target
-// calls that machine first when it leaves.
+// deregister checks that a target that starts again under its id serves: the targets of a service
+// are replaced, the first of them while a control machine that does not lead is frozen. It is the one that the
+// first target has registered with so far.
 func deregister(p *play) (verdict, error) {
 	if err := p.begin(config, serviceSpec{name: "huvo11a", targets: 3, slots: 4, work: 200 * time.Millisecond}); err != nil {
 		return verdict{}, err
@@ -95,22 +93,23 @@
 	c.traffic(ctx, http.MethodGet, "/lohu930/", 48, 1200*time.Millisecond)
 	time.Sleep(3 * time.Second)
 	t := p.targets[0]
-	otherAddr := p.fleet.addr(other, "control")
+	t.setNode(p.fleet.addr(frozen, "control"))
 	t.setState("draining")
-	t.register(otherAddr)
+	t.register()
 	time.Sleep(drain + 500*time.Millisecond)
 	p.freeze(frozen)
 	frozenAt := time.Now()
 	time.Sleep(100 * time.Millisecond)
 	t.setSilent(true)
-	t.deregister(p.fleet.addr(frozen, "control"))
+	t.deregister()
 	t.end("has left")
 	time.Sleep(500 * time.Millisecond)
 	t.setSilent(false)
+	// The new start knows nothing of before; the node that it happens to call first is awake.
+	t.setNode(p.fleet.addr(other, "control"))
 	if err := t.start(); err != nil {
 		return verdict{}, err
 	}
-	t.register(otherAddr)
 	started := time.Now()
 	time.Sleep(time.Until(frozenAt.Add(3500 * time.Millisecond)))
 	p.thaw(frozen)
@@ -124,6 +123,7 @@
 	cancel()
 	c.group.Wait()
 	c.writeAll()
+	p.writeArrivals()
 	windows, text := p.floorWindows(c, from, to)
 	return verdict{broken: windows > 0, text: text}, nil
 }
@@ -192,6 +192,7 @@
 	cancel()
 	c.group.Wait()
 	c.writeAll()
+	p.writeArrivals()
 	var crashes, runs []time.Time
 	for _, t := range p.targets {
 		t.mu.Lock()
--- a/review/rig/target.go
+++ b/review/rig/target.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -23,9 +24,10 @@
 
 // arrival is a request that reached a target.
 type arrival struct {
-	at       time.Time
-	id, path string
-	ran      bool
+	at time.Time
+	// target is the id of the target then.
+	target, id, path string
+	ran              bool
 }
 
 // target is a stand-in for a target of the users' pages. It serves one request per slot, queues a
@@ -44,6 +46,8 @@
 	sequence int
 	state    string
 	silent   bool
+	// node acknowledged the last call; it is called first. If there is none, chance decides.
+	node     string
 	listener net.Listener
 	server   *http.Server
 	running  chan struct{}
@@ -91,7 +95,7 @@
 
 func (t *target) beat(down chan struct{}) {
 	for {
-		t.register("")
+		t.register()
 		select {
 		case <-down:
 			return
@@ -100,13 +104,12 @@
 	}
 }
 
-// register sends a heartbeat and reports whether it was acknowledged. If first is set, that node
-// is called before the others.
-func (t *target) register(first string) bool {
+// register sends a heartbeat.
+func (t *target) register() {
 	t.mu.Lock()
 	if t.silent {
 		t.mu.Unlock()
-		return false
+		return
 	}
 	t.sequence++
 	body, _ := json.Marshal(map[string]any{
@@ -115,36 +118,46 @@
 		"status": map[string]any{"state": t.state, "sequence": t.sequence, "warmup_left": "0ms"},
 	})
 	t.mu.Unlock()
-	return t.call("/Instances.Heartbeat/"+t.id, body, first, 3)
+	t.call("/Instances.Heartbeat/"+t.id, body)
 }
 
 // deregister says that the target is gone.
-func (t *target) deregister(first string) bool {
+func (t *target) deregister() {
 	t.mu.Lock()
 	body, _ := json.Marshal(map[string]any{"born": t.born})
 	t.mu.Unlock()
-	return t.call("/Instances.Deregister/"+t.id, body, first, 5)
+	t.call("/Instances.Deregister/"+t.id, body)
 }
 
 // call calls one node after the other until one acknowledges within a second.
-func (t *target) call(path string, body []byte, first string, most int) bool {
+func (t *target) call(path string, body []byte) {
+	t.mu.Lock()
+	first := t.node
+	t.mu.Unlock()
 	nodes := slices.Clone(t.registry())
 	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
 	if first != "" {
 		nodes = slices.DeleteFunc(nodes, func(n string) bool { return n == first })
 		nodes = slices.Insert(nodes, 0, first)
 	}
-	for _, node := range nodes[:min(most, len(nodes))] {
+	for _, node := range nodes {
 		status, _, err := post(node, path, body, callTimeout)
-		quiet := err == nil && status == http.StatusOK && path[:20] == "/Instances.Heartbeat"
-		if !quiet {
+		acked := err == nil && status/100 == 2
+		if !acked || !strings.HasPrefix(path, "/Instances.Heartbeat") {
 			t.record.logf("target %s: POST %s %s to %s: %s", t.id, path, body, node, outcome(status, err))
 		}
-		if err == nil && status/100 == 2 {
-			return true
+		if acked {
+			t.setNode(node)
+			return
 		}
 	}
-	return false
+}
+
+// setNode sets the node that is called first.
+func (t *target) setNode(addr string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.node = addr
 }
 
 // post calls a node on a connection of its own and closes that after the timeout.
@@ -182,7 +195,7 @@
 	id := r.Header.Get("Request-Id")
 	t.mu.Lock()
 	index := len(t.arrivals)
-	t.arrivals = append(t.arrivals, arrival{at: time.Now(), id: id, path: r.URL.Path})
+	t.arrivals = append(t.arrivals, arrival{at: time.Now(), target: t.id, id: id, path: r.URL.Path})
 	full := len(t.running) == t.slots && t.waiting >= 2*t.slots
 	if !full {
 		t.waiting++
@@ -305,3 +318,18 @@
 		}
 	}()
 }
+
+// writeArrivals writes to the record what reached each target, and whether it ran there.
+func (p *play) writeArrivals() {
+	for _, t := range p.targets {
+		t.mu.Lock()
+		for _, a := range t.arrivals {
+			what := "turns away"
+			if a.ran {
+				what = "runs"
+			}
+			p.record.logAt(a.at, "target %s (%s) %s %s %s", a.target, t.zone, what, a.id, a.path)
+		}
+		t.mu.Unlock()
+	}
+}
