--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return verdict{}, err
 	}
-	time.Sleep(time.Until(frozenAt.Add(7 * time.Second)))
+	time.Sleep(time.Until(frozenAt.Add(6 * time.Second)))
 	p.thaw(frozen)
 	from, to := acked.Add(evacuate+maxStretch), acked.Add(evacuate+maxStretch+10*time.Second)
 	time.Sleep(time.Until(to))
