--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -13,15 +13,6 @@
 	key  = "i9n73hh2b9wu3fexd9dn"
 )
 
-// config is a configuration with a route of each kind.
-const config = `{"version":7,"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout":"3000ms","idle_timeout":"15000ms"},
-"tenants":[{"name":"kaje80","api_keys":["i9n73hh2b9wu3fexd9dn"],"priority":1,"rate_per_s":0,"burst":0}],
-"listeners":[{"host":"ficu95.example","rules":[
-{"name":"r-1","kind":"safe","slo":"600ms","priority":2,"public":false,"match":{"path_prefix":"/lohu930/"},"action":{"service":"huvo11a","timeout":"1200ms","max_attempts":2}},
-{"name":"r-3","kind":"unsafe","slo":"600ms","priority":1,"public":false,"match":{"path_prefix":"/pufi791/"},"action":{"service":"huvo11a","timeout":"1500ms","max_attempts":2}},
-{"name":"r-2","kind":"upload","slo":"600ms","priority":1,"public":false,"match":{"path_prefix":"/pule252/"},"action":{"service":"huvo11a","timeout":"1500ms","max_attempts":2}}]}],
-"clusters":[{"name":"huvo11a","health_path":"/health","max_conns":360,"protocol":"h1","tls":false,"warmup":"3s","warmup_per_s":12.0}]}`
-
 // evacuation checks that an evacuation that was acknowledged stays in force: the operator
 // evacuates a zone, takes that back and evacuates it again, while a control machine that does not
 // lead is frozen. The order to take the evacuation back is sent to that machine first.
@@ -40,19 +31,19 @@
 	op := operator{p.fleet, p.record}
 	const zone = "kagoshima"
 	const limit = ack
-	if _, err := op.order("/Evacuation.Begin/"+zone, "", other, limit); err != nil {
+	if _, err := op.order(names.Evacuate+zone, "", other, limit); err != nil {
 		return verdict{}, err
 	}
 	time.Sleep(2 * time.Second)
 	p.freeze(frozen)
 	frozenAt := time.Now()
 	time.Sleep(100 * time.Millisecond)
-	if _, err := op.order("/Evacuation.End/"+zone, "", frozen, limit); err != nil {
+	if _, err := op.order(names.TakeBack+zone, "", frozen, limit); err != nil {
 		return verdict{}, err
 	}
 	// Copies of an order are sent for at most ack; later ones than these must not come any more.
 	time.Sleep(time.Until(frozenAt.Add(100*time.Millisecond + ack + 500*time.Millisecond)))
-	acked, err := op.order("/Evacuation.Begin/"+zone, "", other, limit)
+	acked, err := op.order(names.Evacuate+zone, "", other, limit)
 	if err != nil {
 		return verdict{}, err
 	}
@@ -259,7 +250,7 @@
 	}
 	stable := time.Now().Add(contact)
 	op := operator{p.fleet, p.record}
-	acked, err := op.order("/Config.Replace", config, nil, 60*time.Second)
+	acked, err := op.order(names.Configure, config, nil, 60*time.Second)
 	if err != nil {
 		return verdict{broken: true, text: fmt.Sprintf("no acknowledgement in %.0f s in which the core was stable; the bound is %s", time.Since(stable).Seconds(), ack)}, nil
 	}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -132,7 +132,7 @@
 		return list
 	}
 	op := operator{p.fleet, p.record}
-	if _, err := op.order("/Config.Replace", config, nil, 20*time.Second); err != nil {
+	if _, err := op.order(names.Configure, config, nil, 20*time.Second); err != nil {
 		return err
 	}
 	n := 0
--- a/review/rig/target.go
+++ b/review/rig/target.go
@@ -115,10 +115,10 @@
 	body, _ := json.Marshal(map[string]any{
 		"address": t.addr, "born": t.born,
 		"info":   map[string]any{"service": t.service, "version": "v1", "zone": t.zone, "slots": t.slots},
-		"status": map[string]any{"state": t.state, "sequence": t.sequence, "warmup_left": "0ms"},
+		"status": map[string]any{"state": t.state, "sequence": t.sequence, names.WarmupLeft: "0ms"},
 	})
 	t.mu.Unlock()
-	t.call("/Instances.Heartbeat/"+t.id, body)
+	t.call(names.Heartbeat+t.id, body)
 }
 
 // deregister says that the target is gone.
@@ -126,7 +126,7 @@
 	t.mu.Lock()
 	body, _ := json.Marshal(map[string]any{"born": t.born})
 	t.mu.Unlock()
-	t.call("/Instances.Deregister/"+t.id, body)
+	t.call(names.Deregister+t.id, body)
 }
 
 // call calls one node after the other until one acknowledges within a second.
@@ -143,7 +143,7 @@
 	for _, node := range nodes {
 		status, _, err := post(node, path, body, callTimeout)
 		acked := err == nil && status/100 == 2
-		if !acked || !strings.HasPrefix(path, "/Instances.Heartbeat") {
+		if !acked || !strings.HasPrefix(path, names.Heartbeat) {
 			t.record.logf("target %s: POST %s %s to %s: %s", t.id, path, body, node, outcome(status, err))
 		}
 		if acked {
@@ -187,7 +187,7 @@
 		h.Set("Instance-Id", t.id)
 		return
 	}
-	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != t.id {
+	if expected := r.Header.Get(names.Expected); expected != "" && expected != t.id {
 		h.Set("Instance-Id", t.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -203,7 +203,7 @@
 	running, down := t.running, t.down
 	t.mu.Unlock()
 	if full {
-		h.Set("Not-Executed", "1")
+		h.Set(names.NotRun, "1")
 		h.Set("Request-Id", id)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -218,7 +218,7 @@
 		t.stopWaiting()
 	case <-deadline:
 		t.stopWaiting()
-		h.Set("Not-Executed", "1")
+		h.Set(names.NotRun, "1")
 		h.Set("Request-Id", id)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -246,7 +246,7 @@
 	case <-time.After(t.work):
 	case <-deadline:
 		h.Set("Request-Id", id)
-		h.Set("Response-Seal", t.seal(id, http.StatusGatewayTimeout, nil))
+		h.Set(names.Seal, t.seal(id, http.StatusGatewayTimeout, nil))
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	case <-down:
@@ -256,8 +256,8 @@
 	}
 	content := fmt.Appendf(nil, "%s %s %d bytes by %s\n", r.Method, r.URL.Path, len(body), t.id)
 	h.Set("Request-Id", id)
-	h.Set("Response-Seal", t.seal(id, http.StatusOK, content))
-	h.Set("Server-Load", fmt.Sprintf("%d,%d,%d", len(running), 0, t.slots))
+	h.Set(names.Seal, t.seal(id, http.StatusOK, content))
+	h.Set(names.Load, fmt.Sprintf("%d,%d,%d", len(running), 0, t.slots))
 	h.Set("Content-Length", strconv.Itoa(len(content)))
 	w.Write(content)
 }
