Log the digest of each applied state and the delta that led to it

Nothing in the logs told apart: a delta without the removals; deltas merged in the wrong order; removals that control had dropped; a state that was right but not in force in the proxy.

A state has a digest over its objects and the indexes of their last changes. Entries log it with the delta and its sender, control with each ticket; refused deltas are logged as well.

--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -191,7 +191,7 @@
 	c.ledger.Store(&next)
 	c.setFirstIndex(next)
 	c.lastChange = c.options.Clock.Now()
-	c.recordOutcome(before, p, outcome)
+	c.recordOutcome(before, next, p, outcome)
 	pending, ok := c.pending[entry.Index]
 	if !ok {
 		return nil
@@ -205,7 +205,7 @@
 }
 
 // recordOutcome logs the outcome of a ticket.
-func (c *Control) recordOutcome(before ledger.Ledger, p ledger.Proposal, o ledger.Outcome) {
+func (c *Control) recordOutcome(before, next ledger.Ledger, p ledger.Proposal, o ledger.Outcome) {
 	object := fmt.Sprintf("ticket %d", o.TicketNumber)
 	if o.Verdict != ledger.Accepted {
 		c.options.EventLog.Record(event.TicketRefused, object, fmt.Sprintf("%s, author %s", o.Verdict, p.Author))
@@ -214,7 +214,7 @@
 	if o.Repeated {
 		return
 	}
-	c.options.EventLog.Record(event.TicketAccepted, object, fmt.Sprintf("index %d, author %s", o.Index, p.Author))
+	c.options.EventLog.Record(event.TicketAccepted, object, fmt.Sprintf("index %d, author %s: %s", o.Index, p.Author, next.State()))
 	for _, object := range p.Ticket.Set {
 		c.recordDataCentre(before.State(), object)
 	}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 	"sync"
@@ -246,11 +247,16 @@
 	if _, wantedAfter, _ := assembler.NextPart(); wantedAfter != wantedBefore && assembler.RequestDue(d) {
 		go w.request(from, previous.Index(), false)
 	}
-	if err != nil || !changed {
+	if err != nil {
+		w.entry.options.EventLog.Record(event.DeltaFailed, from, err.Error()+": "+describeDelta(from, d))
+		return
+	}
+	if !changed {
 		return
 	}
 	w.lastPartAt = time.Time{}
 	w.apply(previous, next)
+	w.entry.options.EventLog.Record(event.StateApplied, next.String(), describeDelta(from, d))
 	if control := slices.Index(w.controls, from); control >= 0 {
 		go w.request(from, next.Index(), control != w.current)
 	}
@@ -315,7 +321,11 @@
 	w.entry.freshness.confirmState(next, w.entry.options.Clock.Now())
 	w.entry.proxy.ApplyConfig(config)
 	w.entry.fleet.SetStateIndex(next.Index())
-	w.entry.options.EventLog.Record(event.StateApplied, next.String(), "")
+}
+
+// describeDelta describes the delta whose last part is d.
+func describeDelta(from string, d *wire.Delta) string {
+	return fmt.Sprintf("delta of %s from index %d to %d, with removals since %d", from, d.GetFrom(), d.GetTo(), d.GetRemovalsSince())
 }
 
 // serve responds to an entry that requests updates.
--- a/state/change.go
+++ b/state/change.go
@@ -69,6 +69,7 @@
 			continue
 		}
 		removeKeys(keyBuilder, old.Object)
+		s.digest ^= old.digest() ^ record.digest()
 		builder.Set(record.Ref, record)
 		refs = append(refs, record.Ref)
 	}
--- a/state/state.go
+++ b/state/state.go
@@ -14,9 +14,12 @@
 package state
 
 import (
+	"encoding/binary"
 	"fmt"
 	"slices"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // journalLength is the minimum number of recent changes that RecordsSince finds
@@ -39,6 +42,7 @@
 	records        Map[Ref, Record]
 	keys           Map[KeyDigest, *Workspace]
 	journal        *journal
+	digest         uint64
 }
 
 // journal is an immutable linked list of recent changes, newest first.
@@ -56,6 +60,10 @@
 // incrementally. Tombstones of earlier removals may have been dropped.
 func (s State) CompactedIndex() uint64 { return s.compactedIndex }
 
+// Digest returns a checksum of the objects and the indexes of their last changes. States
+// with the same index have the same digest, or one of them lacks a change.
+func (s State) Digest() uint64 { return s.digest }
+
 // Len returns the number of records, including tombstones.
 func (s State) Len() int { return s.records.Len() }
 
@@ -92,6 +100,23 @@
 	return list
 }
 
+// digest returns the part of the record in the digest of a state. Digests of records are
+// combined by exclusive or, so that a change costs the same in a state of any size.
+func (r Record) digest() uint64 {
+	if r.Object == nil {
+		return 0
+	}
+	var digest xxhash.Digest
+	digest.Reset()
+	var index [8]byte
+	binary.LittleEndian.PutUint64(index[:], r.Index)
+	for _, text := range []string{string(r.Ref.Kind), "\x00", r.Ref.Name, "\x00"} {
+		digest.WriteString(text) // never fails
+	}
+	digest.Write(index[:])
+	return digest.Sum64()
+}
+
 // Records returns all records, including tombstones, ordered by kind and name.
 func (s State) Records() []Record {
 	list := make([]Record, 0, s.records.Len())
@@ -203,5 +228,5 @@
 
 // String returns a summary of the state.
 func (s State) String() string {
-	return fmt.Sprintf("state at index %d, %d records, %d keys", s.index, s.records.Len(), s.keys.Len())
+	return fmt.Sprintf("state at index %d, %d records, %d keys, digest %016x", s.index, s.records.Len(), s.keys.Len(), s.digest)
 }
