Keep removals in the deltas of an entry that has restarted

A full state is sent without tombstones, but with the sender's own index of removals, mostly 0. Its receiver took itself for able to update anybody by an incremental delta, in which the removals before its own start are missing. The follower adopts the new index, so nothing repairs it.

A full state now says that its removals begin at its own index, and a receiver assumes so whatever the sender says.

--- a/state/change.go
+++ b/state/change.go
@@ -85,7 +85,8 @@
 	return s
 }
 
-// Load returns a state that consists of exactly the given records.
+// Load returns a state that consists of exactly the given records, which include the
+// tombstones of all removals after compactedIndex.
 func Load(index, compactedIndex uint64, records []Record) State {
 	s := State{}.WithRecords(index, records)
 	s.compactedIndex = compactedIndex
--- a/state/delta.go
+++ b/state/delta.go
@@ -28,7 +28,8 @@
 	}
 	records, complete := current.RecordsSince(from)
 	if complete {
-		first.From = 0
+		// A full state holds no tombstones, so its receiver can update nobody who is behind it.
+		first.From, first.RemovalsSince = 0, current.Index()
 	}
 	objects, err := RecordsToWire(records)
 	if err != nil {
@@ -198,7 +199,8 @@
 		return current, false, nil
 	}
 	if part.GetFrom() == 0 {
-		return Load(part.GetTo(), part.GetRemovalsSince(), records), true, nil
+		// Earlier versions send a lower index of removals with a full state.
+		return Load(part.GetTo(), part.GetTo(), records), true, nil
 	}
 	if part.GetFrom() > current.Index() {
 		return current, false, ErrDeltaGap
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -140,6 +140,57 @@
 	is.Equal(len(records), 1)
 }
 
+// Guards against removed routes that stay in force on an entry that was updated by a
+// neighbour which had started after the removal (CONFIG).
+func TestDeltaOfRestartedNeighbourKeepsEarlierRemovals(t *testing.T) {
+	is := is.New(t)
+	kept, removed := state.Pool{Name: "kept"}, state.Pool{Name: "removed"}
+	follower, _ := state.State{}.WithChange(state.Change{Index: 1, TicketNumber: 1, Set: []state.Object{kept, removed}})
+	control, _ := follower.WithChange(state.Change{Index: 2, TicketNumber: 2, Remove: []state.Ref{removed.Ref()}})
+
+	// The full state of an earlier version has a base of removals of 0.
+	for _, removalsSince := range []uint64{0, control.Index()} {
+		parts, err := state.DeltaParts(control, 0)
+		is.NoErr(err)
+		for _, part := range parts {
+			part.RemovalsSince = removalsSince
+		}
+		restarted := assemble(is, state.State{}, parts)
+		is.Equal(restarted.Digest(), control.Digest())
+		control3, _ := control.WithChange(state.Change{Index: 3, TicketNumber: 3, Set: []state.Object{state.Pool{Name: "later"}}})
+		restarted, _ = restarted.WithChange(state.Change{Index: 3, TicketNumber: 3, Set: []state.Object{state.Pool{Name: "later"}}})
+
+		parts, err = state.DeltaParts(restarted, follower.Index())
+		is.NoErr(err)
+		updated := assemble(is, follower, parts)
+		_, found := state.Get[state.Pool](updated, removed.Name)
+		is.True(!found)
+		is.Equal(updated.Digest(), control3.Digest())
+	}
+}
+
+// Guards against a follower of an earlier version that passes on a full state as if it
+// held all removals.
+func TestFullStateNamesTheIndexBelowWhichItHoldsNoRemovals(t *testing.T) {
+	is := is.New(t)
+	s, _ := state.State{}.WithChange(state.Change{Index: 5, TicketNumber: 1, Set: []state.Object{state.Pool{Name: "p"}}})
+	parts, err := state.DeltaParts(s, 0)
+	is.NoErr(err)
+	is.Equal(parts[0].GetRemovalsSince(), s.Index())
+}
+
+// assemble returns the state that a delta leads to.
+func assemble(is *is.I, current state.State, parts []*wire.Delta) state.State {
+	is.Helper()
+	var a state.Assembler
+	for _, part := range parts {
+		next, _, err := a.Add(current, part)
+		is.NoErr(err)
+		current = next
+	}
+	return current
+}
+
 func BenchmarkKeyLookup(b *testing.B) {
 	s := capacityState(b)
 	digest := state.HashKey("first20000")
