Refuse deltas that lead to another state than the sender's

Deltas name the digest of the state that they lead to. An entry refuses one that leads elsewhere; if control sent it, the entry requests the full state.

--- a/ctrl/watch.go
+++ b/ctrl/watch.go
@@ -181,6 +181,7 @@
 	return &wire.Delta{
 		From: part.GetFrom(), To: part.GetTo(), RemovalsSince: part.GetRemovalsSince(),
 		Objects: part.GetObjects(), Packed: part.GetPacked(), More: part.GetMore(), Part: part.GetPart(),
+		Digest: part.GetDigest(),
 		Beacon: c.beacon, Leader: c.leaderVM(*c.status.Load()),
 		Peers: c.missingPeers(vm, w), Controls: c.newControls(w),
 	}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/dottereldeal/dottereldeal/event"
 	"github.com/dottereldeal/dottereldeal/fleet"
@@ -57,14 +59,26 @@
 	// lastPartAt.
 	deltaSource string
 	lastPartAt  time.Time
-	feed        state.DeltaCache
+	// diverged is set while this VM's state is known to differ from that of a control VM at
+	// the same index. Only a full state of a control VM repairs that.
+	diverged bool
+	refused  *prometheus.CounterVec
+	feed     state.DeltaCache
 }
 
+// Reasons to refuse a delta.
+const (
+	refusedDigest     = "digest"
+	refusedUnverified = "unverified"
+	refusedInvalid    = "invalid"
+)
+
 func newConfigWatcher(e *Entry) *configWatcher {
 	return &configWatcher{
 		entry: e, controls: e.options.Control.Names(), lastResponse: e.options.Clock.Now(),
 		seeds: e.options.Seeds, assemblers: make(map[string]*state.Assembler),
 		initialRequests: xxhash.Sum64String(e.options.VM),
+		refused:         e.options.Meter.CounterVec("deltas_refused_total", "Updates of the configuration refused, by reason.", "reason"),
 	}
 }
 
@@ -116,8 +130,12 @@
 		return
 	}
 	primary, secondary := w.requestTargets(now)
+	base := w.base()
 	for _, vm := range primary {
-		w.request(vm, index, false)
+		w.request(vm, base, false)
+	}
+	if base != index {
+		return
 	}
 	if secondary != "" {
 		w.request(secondary, index, true)
@@ -127,6 +145,21 @@
 	}
 }
 
+// base returns the index that the next delta of a control VM must be based on.
+func (w *configWatcher) base() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.baseLocked()
+}
+
+// baseLocked must be called with the lock.
+func (w *configWatcher) baseLocked() uint64 {
+	if w.diverged {
+		return 0
+	}
+	return w.entry.State().Index()
+}
+
 // tickInitial requests the first state from one VM after the other, since each responds with
 // the complete state: the control VMs, and a neighbour that has one. Entries start with
 // different control VMs. Afterwards it sends requests until the first beacon of the control
@@ -239,29 +272,55 @@
 		w.assemblers[from] = assembler
 	}
 	previous := w.entry.State()
+	if d.GetTo() > previous.Index() && !w.verifiable(from, d) {
+		w.refuse(from, d, refusedUnverified, "delta of another entry without a digest")
+		return
+	}
 	_, wantedBefore, _ := assembler.NextPart()
 	next, changed, err := assembler.Add(previous, d)
 	if err == nil && d.GetMore() {
 		w.deltaSource, w.lastPartAt = from, w.entry.options.Clock.Now()
 	}
 	if _, wantedAfter, _ := assembler.NextPart(); wantedAfter != wantedBefore && assembler.RequestDue(d) {
-		go w.request(from, previous.Index(), false)
+		go w.request(from, w.baseLocked(), false)
+	}
+	if errors.Is(err, state.ErrDigestMismatch) {
+		w.refuse(from, d, refusedDigest, err.Error())
+		if w.isControl(from) && !w.diverged {
+			w.diverged = true
+			go w.request(from, 0, false)
+		}
+		return
 	}
 	if err != nil {
-		w.entry.options.EventLog.Record(event.DeltaFailed, from, err.Error()+": "+describeDelta(from, d))
+		w.refuse(from, d, refusedInvalid, err.Error())
 		return
 	}
 	if !changed {
 		return
 	}
-	w.lastPartAt = time.Time{}
-	w.apply(previous, next)
+	w.lastPartAt, w.diverged = time.Time{}, false
+	w.apply(next)
 	w.entry.options.EventLog.Record(event.StateApplied, next.String(), describeDelta(from, d))
 	if control := slices.Index(w.controls, from); control >= 0 {
 		go w.request(from, next.Index(), control != w.current)
 	}
 }
 
+// verifiable reports whether a delta can be checked, or needs no check. Entries of versions
+// without digests send deltas that may lack removals.
+func (w *configWatcher) verifiable(from string, d *wire.Delta) bool {
+	return d.GetFrom() == 0 || d.GetDigest() != 0 || w.isControl(from)
+}
+
+func (w *configWatcher) isControl(vm string) bool { return slices.Contains(w.controls, vm) }
+
+// refuse records that a delta was not applied.
+func (w *configWatcher) refuse(from string, d *wire.Delta, reason, detail string) {
+	w.refused.WithLabelValues(reason).Inc()
+	w.entry.options.EventLog.Record(event.DeltaFailed, from, detail+": "+describeDelta(from, d))
+}
+
 // recordControl records the response of a control VM and switches to the leader.
 func (w *configWatcher) recordControl(from string, d *wire.Delta) {
 	w.mu.Lock()
@@ -282,7 +341,7 @@
 	if leader := slices.Index(w.controls, d.GetLeader()); leader >= 0 && leader != w.current {
 		w.current = leader
 		w.lastResponse = w.entry.options.Clock.Now()
-		go w.request(d.GetLeader(), w.entry.State().Index(), false)
+		go w.request(d.GetLeader(), w.baseLocked(), false)
 	}
 	for _, p := range d.GetPeers() {
 		if addr, err := netip.ParseAddrPort(p.GetAddr()); err == nil {
@@ -314,7 +373,7 @@
 }
 
 // apply replaces the configuration of this VM.
-func (w *configWatcher) apply(previous, next state.State) {
+func (w *configWatcher) apply(next state.State) {
 	config := proxy.NewConfig(next)
 	w.entry.fleet.SetRegistered(registeredTargets(next))
 	w.entry.config.Store(config)
--- a/entry/watch_test.go
+++ b/entry/watch_test.go
@@ -1,12 +1,17 @@
 package entry
 
 import (
+	"net"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/dottereldeal/dottereldeal/clock"
+	"github.com/dottereldeal/dottereldeal/conf"
+	"github.com/dottereldeal/dottereldeal/state"
+	"github.com/dottereldeal/dottereldeal/wire"
 )
 
 // An entry on a slow link needs more than a second for the first state. Copies of it that
@@ -37,3 +42,71 @@
 	manual.Advance(initialStateTimeout)
 	is.True(ask() != "") // it broke off
 }
+
+// newWatchedEntry returns an entry that is not running, and sends what is given of states to
+// it as if it came from another VM.
+func newWatchedEntry(t *testing.T) (*Entry, func(from string, parts []*wire.Delta)) {
+	t.Helper()
+	is := is.New(t)
+	links, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { links.Close() })
+	e := New(Listeners{Links: links}, VM("e1"), DataCentre("d1"), Control(conf.Peers{"c1": netip.MustParseAddrPort("127.0.0.1:1")}))
+	t.Cleanup(e.link.Stop)
+	return e, func(from string, parts []*wire.Delta) {
+		for _, part := range parts {
+			e.watcher.receive(from, part)
+		}
+	}
+}
+
+// Guards against an entry that keeps a state in which changes are missing for good, because
+// its index is that of control.
+func TestEntryWhoseStateDivergedRequestsTheFullState(t *testing.T) {
+	is := is.New(t)
+	e, send := newWatchedEntry(t)
+	kept, removed := state.Pool{Name: "kept"}, state.Pool{Name: "removed"}
+	control, _ := state.State{}.WithChange(state.Change{Index: 1, Set: []state.Object{kept, removed}})
+	first, err := state.DeltaParts(control, 0)
+	is.NoErr(err)
+	send("c1", first)
+	control, _ = control.WithChange(state.Change{Index: 2, Remove: []state.Ref{removed.Ref()}})
+
+	// A version without digests passed on the index without the removal.
+	send("c1", []*wire.Delta{{From: 1, To: 2}})
+	is.Equal(e.State().Index(), uint64(2))
+	control, _ = control.WithChange(state.Change{Index: 3, Set: []state.Object{state.Pool{Name: "later"}}})
+	parts, err := state.DeltaParts(control, 2)
+	is.NoErr(err)
+	send("c1", parts)
+	is.Equal(e.State().Index(), uint64(2)) // refused
+	is.Equal(e.watcher.base(), uint64(0))
+
+	parts, err = state.DeltaParts(control, 0)
+	is.NoErr(err)
+	send("c1", parts)
+	is.Equal(e.State().Digest(), control.Digest())
+	is.Equal(e.watcher.base(), uint64(3))
+}
+
+// Guards against removals that are missing in the deltas of an entry of a version without
+// digests (77feffd).
+func TestDeltaOfAnEntryWithoutDigestsIsRefused(t *testing.T) {
+	is := is.New(t)
+	e, send := newWatchedEntry(t)
+	s, _ := state.State{}.WithChange(state.Change{Index: 1, Set: []state.Object{state.Pool{Name: "p"}}})
+	parts, err := state.DeltaParts(s, 0)
+	is.NoErr(err)
+	parts[0].Digest = 0
+	send("e2", parts) // a full state lacks nothing
+	is.Equal(e.State().Index(), uint64(1))
+
+	s, _ = s.WithChange(state.Change{Index: 2, Set: []state.Object{state.Pool{Name: "q"}}})
+	parts, err = state.DeltaParts(s, 1)
+	is.NoErr(err)
+	parts[0].Digest = 0
+	send("e2", parts)
+	is.Equal(e.State().Index(), uint64(1))
+	send("c1", parts) // control holds all removals
+	is.Equal(e.State().Index(), uint64(2))
+}
--- a/state/delta.go
+++ b/state/delta.go
@@ -14,6 +14,10 @@
 // current state, so that the changes in between would be lost.
 var ErrDeltaGap = errors.New("base index of the delta is higher than the current index")
 
+// ErrDigestMismatch is returned for a delta that leads to another state than the sender's:
+// it lacks changes, or the current state does.
+var ErrDigestMismatch = errors.New("delta leads to another state than that of its sender")
+
 // partSizeBytes is the size of objects after which a delta continues in another part.
 const partSizeBytes = 128 << 10
 
@@ -21,7 +25,7 @@
 // state. There is always at least one. The delta holds the full state, with a base index
 // of 0, if the follower is too old for an incremental one.
 func DeltaParts(current State, from uint64) ([]*wire.Delta, error) {
-	first := &wire.Delta{From: from, To: current.Index(), RemovalsSince: current.CompactedIndex()}
+	first := &wire.Delta{From: from, To: current.Index(), RemovalsSince: current.CompactedIndex(), Digest: current.Digest()}
 	if from >= current.Index() {
 		first.To = from
 		return []*wire.Delta{first}, nil
@@ -47,7 +51,7 @@
 			last.More = true
 			last = &wire.Delta{
 				From: first.GetFrom(), To: first.GetTo(), RemovalsSince: first.GetRemovalsSince(),
-				Part: uint32(len(parts)),
+				Part: uint32(len(parts)), Digest: first.GetDigest(),
 			}
 			parts = append(parts, last)
 			size = 0
@@ -206,6 +210,9 @@
 		return current, false, ErrDeltaGap
 	}
 	next := current.WithRecords(part.GetTo(), records)
+	if part.GetDigest() != 0 && part.GetDigest() != next.Digest() {
+		return current, false, ErrDigestMismatch
+	}
 	next.compactedIndex = max(next.compactedIndex, part.GetRemovalsSince())
 	return next, true, nil
 }
--- a/state/pack.go
+++ b/state/pack.go
@@ -46,7 +46,7 @@
 	}
 	return &wire.Delta{
 		From: d.GetFrom(), To: d.GetTo(), RemovalsSince: d.GetRemovalsSince(), More: d.GetMore(), Part: d.GetPart(),
-		Packed: packed.Bytes(),
+		Packed: packed.Bytes(), Digest: d.GetDigest(),
 	}, nil
 }
 
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -2,12 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"runtime"
 	"testing"
 
-	"google.golang.org/protobuf/proto"
-
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/dottereldeal/dottereldeal/state"
 	"github.com/dottereldeal/dottereldeal/wire"
@@ -179,6 +180,57 @@
 	is.Equal(parts[0].GetRemovalsSince(), s.Index())
 }
 
+// Guards against a state that lacks changes and adopts the index of a delta all the same.
+func TestDeltaThatLeadsToAnotherStateIsRefused(t *testing.T) {
+	is := is.New(t)
+	p, q := state.Pool{Name: "p"}, state.Pool{Name: "q"}
+	complete, _ := state.State{}.WithChange(state.Change{Index: 1, TicketNumber: 1, Set: []state.Object{p, q}})
+	lacking, _ := state.State{}.WithChange(state.Change{Index: 1, TicketNumber: 1, Set: []state.Object{p}})
+	next, _ := complete.WithChange(state.Change{Index: 2, TicketNumber: 2, Set: []state.Object{state.Pool{Name: "r"}}})
+	parts, err := state.DeltaParts(next, 1)
+	is.NoErr(err)
+	var a state.Assembler
+	got, changed, err := a.Add(lacking, parts[0])
+	is.True(errors.Is(err, state.ErrDigestMismatch))
+	is.True(!changed)
+	is.Equal(got.Index(), uint64(1))
+	is.Equal(assemble(is, complete, parts).Digest(), next.Digest())
+
+	parts[0].Digest = 0 // from a version without digests
+	is.Equal(assemble(is, lacking, parts).Index(), uint64(2))
+}
+
+// Guards against digests that depend on the way to a state.
+func TestDigestDependsOnTheStateOnly(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	control := state.State{}
+	followers := make([]state.State, 8)
+	for index := uint64(1); index <= 400; index++ {
+		name := fmt.Sprint("p", random.IntN(20))
+		change := state.Change{Index: index, Set: []state.Object{state.Pool{Name: name}}}
+		if _, found := state.Get[state.Pool](control, name); found && random.IntN(3) == 0 {
+			change = state.Change{Index: index, Remove: []state.Ref{{Kind: state.KindPool, Name: name}}}
+		}
+		next, problems := control.WithChange(change)
+		is.Equal(len(problems), 0)
+		control = next
+		i := random.IntN(len(followers))
+		if random.IntN(20) == 0 {
+			followers[i] = state.State{}
+		}
+		source := control
+		if other := followers[random.IntN(len(followers))]; random.IntN(3) > 0 && other.Index() > followers[i].Index() {
+			source = other
+		}
+		parts, err := state.DeltaParts(source, followers[i].Index())
+		is.NoErr(err)
+		followers[i] = assemble(is, followers[i], parts)
+		is.Equal(followers[i].Digest(), source.Digest())
+		is.Equal(followers[i].Index(), source.Index())
+	}
+}
+
 // assemble returns the state that a delta leads to.
 func assemble(is *is.I, current state.State, parts []*wire.Delta) state.State {
 	is.Helper()
