Drop orders whose caller has left or which a later one has overtaken

Three causes were possible: the woken process carries out the order; a forwarded proposal waits in a queue and arrives late; entries go back to an older state. The new event order-proposed tells them apart.

An evacuation has no version that tells a late order from a new one. An order without a version now waits 50 ms for the end of its caller's connection, reads the state, and is dropped if the caller has left. The proposal names the index that was read; the leader drops it if the data centre has changed since, or is changed by an entry that is not applied yet. So an order takes effect only if its caller was waiting after the last change before it, wherever it stood still afterwards.

--- a/ctrl/changes.go
+++ b/ctrl/changes.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"time"
 
+	"github.com/go-faster/errors"
+
+	"github.com/dottereldeal/dottereldeal/event"
 	"github.com/dottereldeal/dottereldeal/ledger"
 	"github.com/dottereldeal/dottereldeal/state"
 	"github.com/dottereldeal/dottereldeal/ticket"
@@ -18,11 +22,14 @@
 	return c.Propose(ctx, ledger.Proposal{Ticket: plan, Digest: digest, Author: author})
 }
 
-// SetDataCentreState sets whether a data centre takes new work.
+// SetDataCentreState sets whether a data centre takes new work. ErrCallerLeft means that ctx was
+// cancelled before the order was proposed.
 func (c *Control) SetDataCentreState(ctx context.Context, name string, s state.DataCentreState, author string) error {
-	dataCentre, _ := state.Get[state.DataCentre](c.Ledger().State(), name)
-	dataCentre.Name, dataCentre.State = name, s
-	return c.proposeObject(ctx, dataCentre, author)
+	return c.proposeOrder(ctx, author, func(current state.State) (state.Object, bool) {
+		dataCentre, _ := state.Get[state.DataCentre](current, name)
+		dataCentre.Name, dataCentre.State = name, s
+		return dataCentre, true
+	})
 }
 
 // Register stores the announcement of a backend server. It returns once the
@@ -45,11 +52,62 @@
 	return t, known, nil
 }
 
+// closeDelay is how long after an order the end of its caller's connection may arrive. An order
+// that was held up on a link or at a process that stood still comes with that end behind it.
+const closeDelay = 50 * time.Millisecond
+
+// proposeOrder proposes the change of an object by an order that has no version of its own, so
+// that nothing tells a late one from a new one. It therefore takes effect only if its caller was
+// waiting at a time after which the object has not changed.
+func (c *Control) proposeOrder(ctx context.Context, author string, change func(state.State) (state.Object, bool)) error {
+	wait(ctx, closeDelay)
+	for {
+		current, err := c.Current(ctx)
+		if err == nil {
+			err = ctx.Err()
+		}
+		if errors.Is(ctx.Err(), context.Canceled) {
+			err = ErrCallerLeft
+		}
+		if err != nil {
+			c.options.EventLog.Record(event.OrderDropped, author, err.Error())
+			return err
+		}
+		o, due := change(current.State())
+		if !due {
+			return nil
+		}
+		err = c.proposeObject(ctx, o, author, unchangedSince(current.State().Index()))
+		c.recordOrder(o, err)
+		if !errors.Is(err, ErrOvertaken) {
+			return err
+		}
+	}
+}
+
+// wait waits for d or until ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (c *Control) recordOrder(o state.Object, err error) {
+	detail := "accepted"
+	if err != nil {
+		detail = err.Error()
+	}
+	c.options.EventLog.Record(event.OrderProposed, o.Ref().String(), detail)
+}
+
 // proposeObject proposes a change of one object, outside the operators' numbering of
 // tickets.
-func (c *Control) proposeObject(ctx context.Context, o state.Object, author string) error {
+func (c *Control) proposeObject(ctx context.Context, o state.Object, author string, conditions ...condition) error {
 	change := ticket.Ticket{Number: ledger.SystemNumber, Set: []state.Object{o}}
-	outcome, err := c.Propose(ctx, ledger.Proposal{Ticket: change, Author: author})
+	outcome, err := c.Propose(ctx, ledger.Proposal{Ticket: change, Author: author}, conditions...)
 	if err != nil {
 		return err
 	}
--- a/ctrl/ctrl.go
+++ b/ctrl/ctrl.go
@@ -48,6 +48,11 @@
 	// ErrOutcomeUnknown means that the outcome of a request was not known before
 	// its deadline.
 	ErrOutcomeUnknown = errors.New("timed out before the outcome was known; resending the same ticket is safe")
+	// ErrOvertaken means that a proposal was dropped because an object that it changes has
+	// been changed since it was read.
+	ErrOvertaken = errors.New("overtaken by another change of the same object")
+	// ErrCallerLeft means that an order was dropped because its caller no longer waits.
+	ErrCallerLeft = errors.New("the caller of the order has left")
 	// ErrWrongVM means that the data folder belongs to another VM.
 	ErrWrongVM = errors.New("data folder belongs to another VM")
 )
--- a/ctrl/forward.go
+++ b/ctrl/forward.go
@@ -118,14 +118,18 @@
 	}
 }
 
-func (c *Control) forwardProposal(ctx context.Context, leader string, data []byte) (ledger.Outcome, error) {
+func (c *Control) forwardProposal(ctx context.Context, leader string, ask *wire.ProposalAsk) (ledger.Outcome, error) {
 	e, err := c.request(ctx, leader, func(seq uint64) *wire.Envelope {
-		return &wire.Envelope{Body: &wire.Envelope_ProposalAsk{ProposalAsk: &wire.ProposalAsk{Seq: seq, Data: data}}}
+		ask.Seq = seq
+		return &wire.Envelope{Body: &wire.Envelope_ProposalAsk{ProposalAsk: ask}}
 	})
 	if err != nil {
 		return ledger.Outcome{}, err
 	}
 	m := e.GetProposalAnswer()
+	if m.GetOvertaken() {
+		return ledger.Outcome{}, ErrOvertaken
+	}
 	if m.GetError() != "" {
 		return ledger.Outcome{}, errors.Wrap(ErrOutcomeUnknown, m.GetError())
 	}
@@ -167,9 +171,9 @@
 func (c *Control) serveProposal(from string, m *wire.ProposalAsk) {
 	c.serveForwarded(from, func(ctx context.Context) *wire.Envelope {
 		answer := &wire.ProposalAnswer{}
-		outcome, err := c.proposeLocally(ctx, m.GetData())
+		outcome, err := c.proposeLocally(ctx, m)
 		if err != nil {
-			answer.Error = err.Error()
+			answer.Error, answer.Overtaken = err.Error(), errors.Is(err, ErrOvertaken)
 		} else {
 			answer = outcomeToWire(outcome)
 		}
--- /dev/null
+++ b/ctrl/order_test.go
@@ -0,0 +1,110 @@
+package ctrl
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"github.com/dottereldeal/dottereldeal/ledger"
+	"github.com/dottereldeal/dottereldeal/state"
+	"github.com/dottereldeal/dottereldeal/ticket"
+	"github.com/dottereldeal/dottereldeal/wire"
+)
+
+const dataCentre = "kagoshima"
+
+// newCompleteGroup returns a complete group with the index of its leader and of a follower.
+func newCompleteGroup(t *testing.T) (g *testGroup, leader, follower int) {
+	g = newTestGroup(t)
+	g.start(true, g.all()...)
+	g.await("complete group", 4*time.Second, func() bool { return g.complete(groupSize) })
+	leader = g.leader()
+	return g, leader, (leader + 1) % groupSize
+}
+
+// out returns whether the data centre is out of service, as read at a replica.
+func (g *testGroup) out(ctx context.Context, i int) bool {
+	g.tb.Helper()
+	current, err := g.nodes[i].Current(ctx)
+	if err != nil {
+		g.tb.Fatal(err)
+	}
+	return current.State().IsDataCentreOut(dataCentre)
+}
+
+// Guards against an evacuation that is undone by a control process that wakes and carries out
+// the order of a caller that has left (EVAC).
+func TestOrderOfACallerThatHasLeftIsNotCarriedOut(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	g, leader, follower := newCompleteGroup(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	is.NoErr(g.nodes[leader].SetDataCentreState(ctx, dataCentre, state.DataCentreOut, "test"))
+	for _, i := range []int{leader, follower} {
+		left, leave := context.WithCancel(ctx)
+		leave()
+		is.True(g.nodes[i].SetDataCentreState(left, dataCentre, state.DataCentreIn, "test") != nil)
+	}
+	time.Sleep(500 * time.Millisecond) // an order that was sent to the leader takes effect meanwhile
+	is.True(g.out(ctx, leader))
+}
+
+// Guards against an evacuation that is undone by an earlier order which waited at a process
+// after its caller was last seen (EVAC).
+func TestOrderThatIsOvertakenByALaterOneIsDropped(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	g, leader, follower := newCompleteGroup(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	is.NoErr(g.nodes[leader].SetDataCentreState(ctx, dataCentre, state.DataCentreOut, "test"))
+	for _, i := range []int{leader, follower} {
+		read, err := g.nodes[i].Current(ctx)
+		is.NoErr(err)
+		late := state.DataCentre{Name: dataCentre, State: state.DataCentreIn}
+		// The evacuation is taken back and ordered again meanwhile.
+		is.NoErr(g.nodes[leader].SetDataCentreState(ctx, dataCentre, state.DataCentreIn, "test"))
+		is.NoErr(g.nodes[leader].SetDataCentreState(ctx, dataCentre, state.DataCentreOut, "test"))
+		err = g.nodes[i].proposeObject(ctx, late, "test", unchangedSince(read.State().Index()))
+		is.True(errors.Is(err, ErrOvertaken))
+		is.True(g.out(ctx, leader))
+
+		read, err = g.nodes[i].Current(ctx)
+		is.NoErr(err)
+		is.NoErr(g.nodes[i].proposeObject(ctx, late, "test", unchangedSince(read.State().Index())))
+		is.True(!g.out(ctx, leader))
+	}
+}
+
+// Guards against an order that is accepted although one before it in the log, which is not
+// applied yet, changes the same object.
+func TestOrderIsDroppedForOneThatIsNotAppliedYet(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	g, leader, _ := newCompleteGroup(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	n := g.nodes[leader]
+	since := n.Ledger().State().Index()
+	order := func(name string) *wire.ProposalAsk {
+		data, err := ledger.EncodeProposal(ledger.Proposal{Ticket: ticket.Ticket{
+			Number: ledger.SystemNumber, Set: []state.Object{state.DataCentre{Name: name, State: state.DataCentreOut}},
+		}})
+		is.NoErr(err)
+		return &wire.ProposalAsk{Data: data, UnchangedSince: &since}
+	}
+	answer := func() chan ledger.Outcome { return make(chan ledger.Outcome, 1) }
+	var first, second, other error
+	is.NoErr(n.do(ctx, func() {
+		first = n.propose(order(dataCentre), answer())
+		second = n.propose(order(dataCentre), answer())
+		other = n.propose(order("fukuoka"), answer())
+	}))
+	is.NoErr(first)
+	is.True(errors.Is(second, ErrOvertaken))
+	is.NoErr(other)
+}
--- a/ctrl/propose.go
+++ b/ctrl/propose.go
@@ -2,39 +2,55 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/dottereldeal/dottereldeal/ledger"
 	"github.com/dottereldeal/dottereldeal/quorum"
+	"github.com/dottereldeal/dottereldeal/wire"
 )
 
 // Propose appends a ticket to the log, directly or through the leader, and waits
 // until it is applied. After ErrOutcomeUnknown the ticket may or may not have been
-// accepted.
-func (c *Control) Propose(ctx context.Context, p ledger.Proposal) (ledger.Outcome, error) {
+// accepted; after ErrOvertaken it has not.
+func (c *Control) Propose(ctx context.Context, p ledger.Proposal, conditions ...condition) (ledger.Outcome, error) {
 	data, err := ledger.EncodeProposal(p)
 	if err != nil {
 		return ledger.Outcome{}, err
 	}
+	ask := &wire.ProposalAsk{Data: data}
+	for _, set := range conditions {
+		set(ask)
+	}
 	leader, err := c.awaitLeader(ctx)
 	if err != nil {
 		return ledger.Outcome{}, err
 	}
 	if leader != c.options.VM {
-		return c.forwardProposal(ctx, leader, data)
+		return c.forwardProposal(ctx, leader, ask)
 	}
-	return c.proposeLocally(ctx, data)
+	return c.proposeLocally(ctx, ask)
+}
+
+// condition restricts when a proposal takes effect.
+type condition func(*wire.ProposalAsk)
+
+// unchangedSince drops a proposal if one of its objects has changed after a state index. The
+// leader checks it before it appends the proposal, so that the log holds nothing that replicas
+// of other versions would judge differently. A leader of a version without conditions ignores it.
+func unchangedSince(index uint64) condition {
+	return func(ask *wire.ProposalAsk) { ask.UnchangedSince = &index }
 }
 
 // proposeLocally appends a proposal to the log on the leader. It retries while a
 // new group is too small to accept proposals.
-func (c *Control) proposeLocally(ctx context.Context, data []byte) (ledger.Outcome, error) {
+func (c *Control) proposeLocally(ctx context.Context, ask *wire.ProposalAsk) (ledger.Outcome, error) {
 	answer := make(chan ledger.Outcome, 1)
 	proposeErr := ErrGroupTooSmall
 	for proposeErr == ErrGroupTooSmall {
-		if err := c.do(ctx, func() { proposeErr = c.propose(data, answer) }); err != nil {
+		if err := c.do(ctx, func() { proposeErr = c.propose(ask, answer) }); err != nil {
 			return ledger.Outcome{}, err
 		}
 		if proposeErr == ErrGroupTooSmall && !c.waitForRetry(ctx) {
@@ -57,11 +73,16 @@
 	}
 }
 
-func (c *Control) propose(data []byte, answer chan ledger.Outcome) error {
+func (c *Control) propose(ask *wire.ProposalAsk, answer chan ledger.Outcome) error {
 	if c.forming(c.options.Clock.Now()) {
 		return ErrGroupTooSmall
 	}
-	index, term, err := c.node.Propose(data)
+	if ask.UnchangedSince != nil {
+		if err := c.checkUnchanged(ask.GetData(), ask.GetUnchangedSince()); err != nil {
+			return err
+		}
+	}
+	index, term, err := c.node.Propose(ask.GetData())
 	if err != nil {
 		return err
 	}
@@ -69,6 +90,36 @@
 	return nil
 }
 
+// checkUnchanged returns ErrOvertaken if an object that a proposal changes has changed after a
+// state index, or is changed by an entry of the log that is not applied yet.
+func (c *Control) checkUnchanged(data []byte, since uint64) error {
+	p, err := ledger.DecodeProposal(data)
+	if err != nil {
+		return err
+	}
+	refs := p.Ticket.Refs()
+	for _, ref := range refs {
+		if record, ok := c.Ledger().State().Record(ref); ok && record.Index > since {
+			return ErrOvertaken
+		}
+	}
+	for _, entry := range c.node.ProposedAfter(c.appliedIndex) {
+		if entry.Kind != quorum.DataEntry {
+			continue
+		}
+		pending, err := ledger.DecodeProposal(entry.Data)
+		if err != nil {
+			return errors.Wrapf(err, "log index %d", entry.Index)
+		}
+		for _, ref := range pending.Ticket.Refs() {
+			if slices.Contains(refs, ref) {
+				return ErrOvertaken
+			}
+		}
+	}
+	return nil
+}
+
 // waitForRetry waits for pollPeriod. It returns false if the caller should give up.
 func (c *Control) waitForRetry(ctx context.Context) bool {
 	select {
--- a/event/event.go
+++ b/event/event.go
@@ -32,6 +32,8 @@
 	TicketAccepted     Kind = "ticket-accepted"
 	TicketRefused      Kind = "ticket-refused"
 	TicketInForce      Kind = "ticket-in-force"
+	OrderProposed      Kind = "order-proposed"
+	OrderDropped       Kind = "order-dropped"
 	StateApplied       Kind = "state-applied"
 	StateConfirmed     Kind = "state-confirmed"
 	DeltaFailed        Kind = "delta-failed"
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -171,6 +171,11 @@
 	return slices.Clone(n.log.slice(max(index, n.log.baseIndex)+1, min(n.persisted, n.log.last())))
 }
 
+// ProposedAfter returns all entries after an index, also those that are not persisted yet.
+func (n *Node) ProposedAfter(index uint64) []Entry {
+	return slices.Clone(n.log.slice(max(index, n.log.baseIndex)+1, n.log.last()))
+}
+
 // Tick advances the logical clock by one tick.
 func (n *Node) Tick() {
 	n.elapsedTicks++
