Let a deregistration end only the start that it names

The call names the start that leaves (born), which was not read.

A deregistration ends the start that it names. One of an earlier start than the registered one is acknowledged without effect. Without a start it is an order like an evacuation: it takes effect only while its caller waits and the registration has not changed since. Its count is the last one of the start: an announcement accepted meanwhile had a higher count than the one that was read, so the deregistration was acknowledged and ignored.

--- a/ctrl/changes.go
+++ b/ctrl/changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -41,6 +42,39 @@
 	return c.proposeObject(ctx, t, t.Name)
 }
 
+// Deregister records that a start of a backend server has left. boot identifies the start; at 0
+// it is unknown, and the one that is registered is meant. A start that was replaced by a later
+// one under the same name has already left.
+func (c *Control) Deregister(ctx context.Context, name string, boot uint64) error {
+	if boot == 0 {
+		return c.proposeOrder(ctx, name, func(current state.State) (state.Object, bool) { return departure(current, name, 0) })
+	}
+	current, err := c.Current(ctx)
+	if err != nil {
+		return err
+	}
+	gone, due := departure(current.State(), name, boot)
+	if !due {
+		c.options.EventLog.Record(event.OrderDropped, name, fmt.Sprintf("deregistration of start %d, which has left already", boot))
+		return nil
+	}
+	return c.proposeObject(ctx, gone, name)
+}
+
+// departure returns the registration that marks a start of a server as gone, and whether that
+// start may still be registered. boot is 0 for the start that is registered.
+func departure(current state.State, name string, boot uint64) (state.Target, bool) {
+	t, known := state.Get[state.Target](current, name)
+	if boot != 0 && known && t.Boot > boot {
+		return t, false
+	}
+	if boot != 0 {
+		t.Boot = boot
+	}
+	t.Name, t.Phase, t.Count = name, state.TargetGone, state.LastCount
+	return t, true
+}
+
 // Registered returns the last accepted registration of a backend server, and whether it
 // exists. This replica may lag behind, so the read is confirmed by the leader.
 func (c *Control) Registered(ctx context.Context, name string) (state.Target, bool, error) {
--- a/ctrl/order_test.go
+++ b/ctrl/order_test.go
@@ -108,3 +108,77 @@
 	is.True(errors.Is(second, ErrOvertaken))
 	is.NoErr(other)
 }
+
+// newServer returns the registration of a start of a server.
+func newServer(boot, count uint64) state.Target {
+	return state.Target{
+		Name: "s1", Pool: "p", DataCentre: "a", Addr: "10.0.0.1:80", Slots: 4,
+		Phase: state.TargetWarm, Boot: boot, Count: count,
+	}
+}
+
+// Guards against a server that is taken out by a late deregistration of its previous start,
+// and stays out while its announcements are acknowledged (FLOOR).
+func TestLateDeregistrationLeavesTheNextStart(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	g, leader, follower := newCompleteGroup(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	phase := func() state.TargetPhase {
+		known, _, err := g.nodes[leader].Registered(ctx, "s1")
+		is.NoErr(err)
+		return known.Phase
+	}
+	is.NoErr(g.nodes[leader].Register(ctx, newServer(1, 5)))
+	is.NoErr(g.nodes[leader].Register(ctx, newServer(2, 1)))
+	is.NoErr(g.nodes[follower].Deregister(ctx, "s1", 1))
+	is.Equal(phase(), state.TargetWarm)
+	is.NoErr(g.nodes[follower].Deregister(ctx, "s1", 2))
+	is.Equal(phase(), state.TargetGone)
+	is.NoErr(g.nodes[follower].Deregister(ctx, "s1", 2)) // sent again
+	is.NoErr(g.nodes[leader].Register(ctx, newServer(3, 1)))
+	is.Equal(phase(), state.TargetWarm)
+
+	// A caller that names no start and has left by now means nothing.
+	left, leave := context.WithCancel(ctx)
+	leave()
+	is.True(g.nodes[follower].Deregister(left, "s1", 0) != nil)
+	time.Sleep(500 * time.Millisecond) // an order that was sent to the leader takes effect meanwhile
+	is.Equal(phase(), state.TargetWarm)
+	is.NoErr(g.nodes[follower].Deregister(ctx, "s1", 0))
+	is.Equal(phase(), state.TargetGone)
+}
+
+// Guards against a deregistration that is acknowledged without effect, because an announcement
+// of the same start is accepted while it is on its way.
+func TestDeregistrationIsTheLastWordOfAStart(t *testing.T) {
+	is := is.New(t)
+	for _, boot := range []uint64{0, 7} {
+		l := ledger.New(ledger.DefaultDedupWindow)
+		apply := func(index uint64, target state.Target) {
+			l, _ = l.Apply(index, ledger.Proposal{Ticket: ticket.Ticket{Number: ledger.SystemNumber, Set: []state.Object{target}}})
+		}
+		apply(1, newServer(boot, 1))
+		gone, due := departure(l.State(), "s1", boot)
+		is.True(due)
+		apply(2, newServer(boot, 40).WithPhase(state.TargetLeaving))
+		apply(3, gone)
+		apply(4, newServer(boot, 41))
+		known, _ := state.Get[state.Target](l.State(), "s1")
+		is.Equal(known.Phase, state.TargetGone)
+	}
+}
+
+// Guards against a server whose deregistration comes before its first announcement, and which
+// is then taken for present.
+func TestDeregistrationOfAnUnknownServerHolds(t *testing.T) {
+	is := is.New(t)
+	l := ledger.New(ledger.DefaultDedupWindow)
+	gone, due := departure(l.State(), "s1", 7)
+	is.True(due)
+	l, _ = l.Apply(1, ledger.Proposal{Ticket: ticket.Ticket{Set: []state.Object{gone}}})
+	l, _ = l.Apply(2, ledger.Proposal{Ticket: ticket.Ticket{Set: []state.Object{newServer(7, 3)}}})
+	known, _ := state.Get[state.Target](l.State(), "s1")
+	is.Equal(known.Phase, state.TargetGone)
+}
--- a/state/object.go
+++ b/state/object.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -244,6 +245,9 @@
 // of servers that announce no boot number.
 const firstCount = 1
 
+// LastCount is the count of the departure of a server, which is the last word of its start.
+const LastCount = math.MaxUint64
+
 // EqualExceptCount reports whether two announcements differ at most in their count.
 func (t Target) EqualExceptCount(other Target) bool {
 	t.Count = other.Count
