--- a/entry/announce.go
+++ b/entry/announce.go
@@ -11,13 +11,13 @@
 	"github.com/dottereldeal/dottereldeal/check"
 	"github.com/dottereldeal/dottereldeal/conf"
 	"github.com/dottereldeal/dottereldeal/fleet"
+	"github.com/dottereldeal/dottereldeal/state"
 )
 
 const (
 	maxAnnouncementBytes = 4 << 10
 	maxLifetime          = 10 * time.Minute
 	minLifetime          = time.Second
-	maxSlots             = 100_000
 )
 
 // announcement is the body of PUT /v1/targets/{name}.
@@ -86,8 +86,8 @@
 	if _, err := netip.ParseAddrPort(a.Address); err != nil {
 		found.Add("address", "%q is not IP:PORT", a.Address)
 	}
-	if a.Slots < 1 || a.Slots > maxSlots {
-		found.Add("slots", "%d is not from 1 to %d", a.Slots, maxSlots)
+	if a.Slots < 1 || a.Slots > state.MaxSlots {
+		found.Add("slots", "%d is not from 1 to %d", a.Slots, state.MaxSlots)
 	}
 	if a.Connections < 0 {
 		found.Add("connections", "%d is negative", a.Connections)
--- a/proxy/endless_test.go
+++ b/proxy/endless_test.go
@@ -63,6 +63,8 @@
 		"interim responses":      {"", "HTTP/1.1 102 Processing\r\n\r\n"},
 		"body of another answer": {answer + "\r\n", "z"},
 		"chunks of another":      {answer + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nz\r\n"},
+		"trailer":                {answer + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: and more\r\n"},
+		"chunk extension":        {answer + "Transfer-Encoding: chunked\r\n\r\n1;x=", "y"},
 		"chunk header":           {answer[:len(answer)-2] + "\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
 	}
 	for name, c := range cases {
--- a/state/object.go
+++ b/state/object.go
@@ -245,6 +245,10 @@
 // of servers that announce no boot number.
 const firstCount = 1
 
+// MaxSlots is the highest number of slots that a server may announce. Sums over all servers stay
+// far below the limits of integers.
+const MaxSlots = 100_000
+
 // LastCount is the count of the departure of a server, which is the last word of its start.
 const LastCount = math.MaxUint64
 
