--- a/ctrl/reopen_test.go
+++ b/ctrl/reopen_test.go
@@ -12,13 +12,16 @@
 )
 
 // fullFolder simulates a folder on a disk that can be full. A write to a full disk
-// stores half of the data.
+// stores half of the data, and no file can be created there.
 type fullFolder struct {
 	store.Folder
 	full *atomic.Bool
 }
 
 func (f *fullFolder) Create(name string) (store.File, error) {
+	if f.full.Load() {
+		return nil, syscall.ENOSPC
+	}
 	file, err := f.Folder.Create(name)
 	return &fullFile{file, f.full}, err
 }
