--- a/prog/commands_test.go
+++ b/prog/commands_test.go
@@ -19,11 +19,12 @@
 
 func commands() map[string]command {
 	return map[string]command{
-		"ports":   portsCommand,
-		"fake":    fakeCommand,
-		"await":   awaitCommand,
-		"request": requestCommand,
-		"certs":   certsCommand,
+		"ports":      portsCommand,
+		"fake":       fakeCommand,
+		"await":      awaitCommand,
+		"request":    requestCommand,
+		"certs":      certsCommand,
+		"production": productionCommand,
 	}
 }
 
