--- a/guard/guard.go
+++ b/guard/guard.go
@@ -121,6 +121,18 @@
 	}
 }
 
+// SuspectedAlike reports whether a request with the same workspace and label is a suspect. The one
+// in question may be another copy of it.
+func (t *Table) SuspectedAlike(workspace, label string) bool {
+	wanted := Suspect{Workspace: workspace}.WithLabel(label)
+	for _, r := range t.records {
+		if r.Workspace == wanted.Workspace && r.Label == wanted.Label {
+			return true
+		}
+	}
+	return false
+}
+
 // Torn records that the connection of a request, sent at a time, broke before its server had
 // answered. It reports whether the request has been put in quarantine by that.
 func (t *Table) Torn(cell string, s Suspect, server string, boot uint64, sent, now time.Time) bool {
--- a/health/health.go
+++ b/health/health.go
@@ -1,7 +1,11 @@
 // Package health detects failing backend servers from the results of requests.
 package health
 
-import "time"
+import (
+	"time"
+
+	"github.com/dottereldeal/dottereldeal/guard"
+)
 
 // Kind classifies the result of a request to a backend server.
 type Kind string
@@ -51,4 +55,7 @@
 	Pause time.Duration
 	// Label names the request for operators, if its connection broke.
 	Label string
+	// Print identifies the request among all entries. It may become known while the request
+	// runs.
+	Print guard.Print
 }
--- a/local/crash_test.go
+++ b/local/crash_test.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -24,6 +26,59 @@
 	}
 }
 
+// Guards against a request that goes on crashing servers because its body, which comes after its
+// head, is not known when a server is chosen (BUDGET).
+func TestCrashingRequestIsQuarantinedThoughItsBodyComesLate(t *testing.T) {
+	for _, placement := range []pool.PlacementMode{pool.PlacementHolder, pool.PlacementLocal} {
+		t.Run(string(placement), func(t *testing.T) { testLateCrashingBody(t, placement) })
+	}
+}
+
+func testLateCrashingBody(t *testing.T, placement pool.PlacementMode) {
+	is := is.New(t)
+	f, err := local.Start(local.Controls(1), local.Entries(3, "d1"), local.Folder(t.TempDir()), local.EntryOptions(entry.Placement(placement)))
+	is.NoErr(err)
+	s := startPool(t, f, 12)
+	const path = "/once/deadly"
+	send := func(i int, text string) *http.Response {
+		reader, writer := io.Pipe()
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			io.WriteString(writer, strings.Repeat(text, 6000))
+			writer.Close()
+		}()
+		request, err := http.NewRequestWithContext(s.ctx, http.MethodPost, f.Entries[i%3].Callers+path, reader)
+		is.NoErr(err)
+		request.Header.Set("Authorization", "Bearer key-east")
+		response, err := s.client.Do(request)
+		is.NoErr(err)
+		response.Body.Close()
+		return response
+	}
+	for _, server := range s.servers {
+		server.SetFault(fake.Fault{CrashPath: path})
+	}
+	refused := 0
+	for i := range 12 {
+		response := send(i, "licence scan ")
+		if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("Dottereldeal-Outcome") == "not-run" {
+			refused++
+		}
+		time.Sleep(150 * time.Millisecond) // local choices are reported ten times a second
+	}
+	crashed := 0
+	for _, server := range s.servers {
+		if server.Crashed() {
+			crashed++
+		}
+		server.SetFault(fake.Fault{})
+	}
+	is.True(refused >= 8)
+	is.True(crashed <= 3) // the rule allows the third crash
+	is.Equal(send(0, "licence scan ").StatusCode, http.StatusServiceUnavailable)
+	is.Equal(send(0, "payslip ").StatusCode, http.StatusOK) // another upload on the same path
+}
+
 func testCrashingRequest(t *testing.T, placement pool.PlacementMode, method string) {
 	is := is.New(t)
 	f, err := local.Start(local.Controls(1), local.Entries(3, "d1"), local.Folder(t.TempDir()), local.EntryOptions(entry.Placement(placement)))
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -60,6 +60,9 @@
 	// Print identifies the request among all entries, Label names it for operators.
 	Print guard.Print
 	Label string
+	// LatePrint waits for Print, whose part of the body has not arrived yet, until the context
+	// ends. It is nil if Print is known.
+	LatePrint func(context.Context) guard.Print
 	// Hedge is set if another attempt of the request is running.
 	Hedge bool
 }
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dottereldeal/dottereldeal/guard"
 	"github.com/dottereldeal/dottereldeal/health"
 	"github.com/dottereldeal/dottereldeal/wire"
 )
@@ -75,7 +76,7 @@
 func (b *Balancer) receiveSlotDone(from string, m *wire.SlotDone, now time.Time) {
 	result := health.Result{
 		Kind: health.Kind(m.GetResult()), Latency: time.Duration(m.GetLatencyMicros()) * time.Microsecond, Cold: m.GetCold(),
-		Limit: limitOfWire(m.GetLimit()), Label: m.GetLabel(),
+		Limit: limitOfWire(m.GetLimit()), Label: m.GetLabel(), Print: guard.PrintOfBytes(m.GetPrint()),
 		Pause: time.Duration(m.GetPauseMicros()) * time.Microsecond,
 	}
 	b.mu.Lock()
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -15,6 +15,7 @@
 // or it does not answer, Pick chooses locally: a warm server, or a cold one for which
 // a permit is available. If there are only cold servers, it waits for a permit.
 func (b *Balancer) Pick(ctx context.Context, pool string, r pick.Request) (pick.Choice, error) {
+	r = b.withPrint(ctx, r)
 	if err := b.quarantined(r); err != nil {
 		return pick.Choice{}, err
 	}
@@ -194,7 +195,7 @@
 			b.markLeaving(t.Pool, t.Name, t.Boot)
 		}
 		b.finish(cs, t, id, permitted, r)
-		b.recordLocalEvidence(cs, req, t, r.Kind, now)
+		b.recordLocalEvidence(cs, req, t, r, now)
 	}}
 }
 
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -230,6 +230,7 @@
 	m := &wire.SlotDone{
 		Pool: cell, Id: id, Result: string(r.Kind), LatencyMicros: uint64(r.Latency.Microseconds()), Cold: r.Cold, Limit: limitToWire(r.Limit),
 		Label: r.Label, LeavingBoot: r.LeavingBoot, PauseMicros: uint64(r.Pause.Microseconds()),
+		Print: r.Print.Bytes(),
 	}
 	if holder == b.options.VM {
 		b.receiveSlotDone(holder, m, b.options.Clock.Now())
--- a/pool/suspect.go
+++ b/pool/suspect.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"strings"
@@ -57,6 +58,9 @@
 
 // recordEvidence records what the result of a request says about crashes of its server.
 func (s *scheduler) recordEvidence(a assignment, r health.Result, now time.Time) {
+	if a.print == (guard.Print{}) {
+		a.print = r.Print
+	}
 	switch r.Kind {
 	case health.OK, health.Failed:
 		s.guard.Answered(s.cell, a.print, now)
@@ -68,6 +72,21 @@
 	}
 }
 
+// withPrint returns the request with its fingerprint, if it may be a copy of a suspect. Others are
+// not held up until their bodies arrive.
+func (b *Balancer) withPrint(ctx context.Context, r pick.Request) pick.Request {
+	if r.LatePrint == nil {
+		return r
+	}
+	b.mu.Lock()
+	suspected := b.guard.SuspectedAlike(r.Workspace, r.Label)
+	b.mu.Unlock()
+	if suspected {
+		r.Print, r.LatePrint = r.LatePrint(ctx), nil
+	}
+	return r
+}
+
 // quarantined returns an error if a request is in quarantine.
 func (b *Balancer) quarantined(r pick.Request) error {
 	b.mu.Lock()
@@ -84,11 +103,14 @@
 
 // recordLocalEvidence records what the result of a request that this VM has placed by itself
 // says about crashes of its server.
-func (b *Balancer) recordLocalEvidence(cs *cellState, req pick.Request, t fleet.Target, kind health.Kind, sent time.Time) {
+func (b *Balancer) recordLocalEvidence(cs *cellState, req pick.Request, t fleet.Target, r health.Result, sent time.Time) {
 	now := b.options.Clock.Now()
+	if req.Print == (guard.Print{}) {
+		req.Print = r.Print
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	switch kind {
+	switch r.Kind {
 	case health.OK, health.Failed:
 		b.guard.Alive(t.Name, t.Boot, sent)
 		if b.guard.Answered(localCell, req.Print, now) && len(cs.cleared) < guard.MaxPublished {
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -224,7 +224,7 @@
 func (a *attempt) report(kind health.Kind, latency time.Duration) {
 	a.exchange.handler.metrics.attempts.WithLabelValues(string(kind)).Inc()
 	a.logAttempt(kind, latency, a.detail)
-	a.choice.Done(health.Result{Kind: kind, Latency: latency, Cold: a.cold, Limit: a.limit, Leaving: a.leaving, Pause: a.pause})
+	a.choice.Done(health.Result{Kind: kind, Latency: latency, Cold: a.cold, Limit: a.limit, Leaving: a.leaving, Pause: a.pause, Print: a.exchange.fingerprint()})
 }
 
 // targetURL returns the request's URL with the address of a backend server.
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -21,8 +21,6 @@
 	// consumed is set once any part of the stream has been read.
 	consumed atomic.Bool
 	deadline *requestDeadline
-	// head is the start of a streamed body, nil if it did not arrive in time.
-	head []byte
 }
 
 // newRequestBody returns the body of a request and buffers it if it is small.
@@ -58,31 +56,56 @@
 // peek waits, for a limited time, for the start of a body that is streamed.
 func (b *requestBody) peek(ctx context.Context, body io.ReadCloser) {
 	reader := bufio.NewReaderSize(body, headBytes)
-	peeked := make(chan []byte, 1)
-	b.stream = &peekedBody{reader: reader, Closer: body, peeked: make(chan struct{})}
+	stream := &peekedBody{reader: reader, Closer: body, peeked: make(chan struct{})}
+	b.stream = stream
 	go func() {
-		defer close(b.stream.peeked)
+		defer close(stream.peeked)
 		if head, err := reader.Peek(headBytes); err == nil || err == io.EOF {
-			peeked <- head
+			stream.head, stream.whole = bytes.Clone(head), err == io.EOF
 		}
 	}()
-	timer := time.NewTimer(maxHeadWait)
-	defer timer.Stop()
+	waitCtx, cancel := context.WithTimeout(ctx, maxHeadWait)
+	defer cancel()
+	b.awaitStart(waitCtx)
+}
+
+// awaitStart waits until the bytes that identify the body have arrived, or the context ends.
+func (b *requestBody) awaitStart(ctx context.Context) {
+	if b.buffered() {
+		return
+	}
 	select {
-	case head := <-peeked:
-		b.head = bytes.Clone(head)
 	case <-b.stream.peeked:
-	case <-timer.C:
 	case <-ctx.Done():
 	}
 }
 
+// start returns the bytes that identify the body and its length, -1 if it is not known. It returns
+// false if they have not arrived yet.
+func (b *requestBody) start() (head []byte, length int64, ok bool) {
+	if b.buffered() {
+		return b.buffer, b.length, true
+	}
+	select {
+	case <-b.stream.peeked:
+	default:
+		return nil, 0, false
+	}
+	if b.stream.whole {
+		return b.stream.head, int64(len(b.stream.head)), true
+	}
+	return b.stream.head, b.length, b.stream.head != nil
+}
+
 // peekedBody reads a body whose start has been peeked at.
 type peekedBody struct {
 	io.Closer
 	reader *bufio.Reader
-	// peeked is closed when the start has arrived.
+	// peeked is closed when the start has arrived, and head and whole are set: the start, nil if
+	// it cannot be read, and whether it is all of the body.
 	peeked chan struct{}
+	head   []byte
+	whole  bool
 }
 
 func (p *peekedBody) Read(data []byte) (int, error) {
--- a/proxy/log.go
+++ b/proxy/log.go
@@ -51,8 +51,8 @@
 	if x.workspace != nil {
 		attrs = append(attrs, slog.String("workspace", x.workspace.Name))
 	}
-	if x.print != (guard.Print{}) {
-		attrs = append(attrs, slog.String("print", x.print.String()))
+	if print := x.fingerprint(); print != (guard.Print{}) {
+		attrs = append(attrs, slog.String("print", print.String()))
 	}
 	return append(attrs, slog.Uint64("state", x.config.State.Index()),
 		slog.Duration("age", x.handler.options.Clock.Now().Sub(x.receivedAt)))
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -99,7 +99,8 @@
 	pool       string
 	receivedAt time.Time
 	body       *requestBody
-	// print identifies the request among all entries.
+	// print identifies the request among all entries. It is the zero value if too little of the
+	// body arrived in time; see fingerprint.
 	print guard.Print
 }
 
@@ -311,16 +312,24 @@
 // fingerprint returns what identifies the request among all entries, or the zero value if too
 // little of its body has arrived yet.
 func (x *exchange) fingerprint() guard.Print {
-	workspace, body := "", x.body.buffer
+	if x.print != (guard.Print{}) || x.body == nil {
+		return x.print
+	}
+	head, length, arrived := x.body.start()
+	if !arrived {
+		return guard.Print{}
+	}
+	workspace := ""
 	if x.workspace != nil {
 		workspace = x.workspace.Name
 	}
-	if !x.body.buffered() {
-		if body = x.body.head; body == nil {
-			return guard.Print{}
-		}
-	}
-	return guard.PrintOf(workspace, x.request.Method, x.request.URL.RequestURI(), x.body.length, body)
+	return guard.PrintOf(workspace, x.request.Method, x.request.URL.RequestURI(), length, head)
+}
+
+// latePrint waits for the fingerprint until the context ends.
+func (x *exchange) latePrint(ctx context.Context) guard.Print {
+	x.body.awaitStart(ctx)
+	return x.fingerprint()
 }
 
 // IdempotencyHeader is the header with the key that identifies repeated sends of a request.
--- a/proxy/retry.go
+++ b/proxy/retry.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/dottereldeal/dottereldeal/guard"
 	"github.com/dottereldeal/dottereldeal/health"
 	"github.com/dottereldeal/dottereldeal/pick"
 )
@@ -71,9 +72,12 @@
 func (x *exchange) pickRequest(tried []string, deadline *requestDeadline) pick.Request {
 	r := pick.Request{
 		Avoid: tried, Idempotent: x.route.Idempotent, Rank: x.route.Rank, Timeout: deadline.remaining(), Bytes: x.body.length,
-		Print: x.print, Label: x.request.Method + " " + x.request.URL.Path,
+		Print: x.fingerprint(), Label: x.request.Method + " " + x.request.URL.Path,
 		Objective: time.Duration(x.route.Objective) - x.handler.options.Clock.Now().Sub(x.receivedAt),
 	}
+	if r.Print == (guard.Print{}) {
+		r.LatePrint = x.latePrint
+	}
 	if x.workspace != nil {
 		r.Workspace = x.workspace.Name
 		if x.workspace.Rank != nil {
