Number requests to other VMs at random after each start

Numbers of slot requests, forwarded proposals and reads, and token requests begin at a random number after each start.

TestSlotsOfAnEarlierStartAreGivenBack and TestSlotsInUseAreThoseOfRunningRequests failed before. Not run: an entry killed 24 times with real processes.

--- a/ctrl/forward.go
+++ b/ctrl/forward.go
@@ -9,6 +9,7 @@
 
 	"github.com/dottereldeal/dottereldeal/event"
 	"github.com/dottereldeal/dottereldeal/ledger"
+	"github.com/dottereldeal/dottereldeal/link"
 	"github.com/dottereldeal/dottereldeal/quorum"
 	"github.com/dottereldeal/dottereldeal/state"
 	"github.com/dottereldeal/dottereldeal/ticket"
@@ -41,6 +42,7 @@
 	defer t.mu.Unlock()
 	if t.waiting == nil {
 		t.waiting = make(map[uint64]chan *wire.Envelope)
+		t.seq = link.FirstNumber()
 	}
 	t.seq++
 	answer := make(chan *wire.Envelope, 1)
--- a/limit/distributed.go
+++ b/limit/distributed.go
@@ -193,7 +193,7 @@
 func (d *Distributed) client(workspace string, now time.Time) *client {
 	c, ok := d.clients[workspace]
 	if !ok {
-		c = &client{}
+		c = &client{seq: link.FirstNumber()}
 		d.clients[workspace] = c
 	}
 	c.lastUsed = now
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -219,3 +219,14 @@
 	_, err = a.Open("nobody", "10.0.0.7:80")
 	is.True(err != nil)
 }
+
+// Guards against an answer to an earlier start of a process that is taken for one to a request of
+// the present start.
+func TestNumbersOfTwoStartsDoNotMeet(t *testing.T) {
+	is := is.New(t)
+	const requests = 1 << 20 // of one start
+	for range 100 {
+		first, second := link.FirstNumber(), link.FirstNumber()
+		is.True(first+requests < second || second+requests < first)
+	}
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -83,7 +83,7 @@
 	b := &Balancer{
 		options: newOptions(opts...), link: l, fleet: f, leases: leases,
 		cellStates: make(map[string]*cellState), holders: make(map[string]*holder), pending: make(map[uint64]*pendingRequest),
-		guard: guard.New(),
+		guard: guard.New(), lastID: link.FirstNumber(),
 	}
 	b.leaving.Store(&leavingServers{})
 	f.Watch(fleet.KindEjection, b.updateStatus)
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -261,6 +261,10 @@
 		a.ramping = true
 		srv.ramp.Grant(now)
 	}
+	if earlier, used := s.assignments[req.key()]; used {
+		// An entry of an earlier version numbers its requests anew after each start.
+		s.release(req.key(), earlier)
+	}
 	srv.throttle.take(now)
 	srv.lastAssigned = now
 	srv.inUse++
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -445,3 +445,74 @@
 	}
 	is.Equal(retries, requests/5)
 }
+
+// Guards against slots that stay in use for good, because an entry that started again numbers
+// its requests like its previous start (77feffd).
+func TestSlotsOfAnEarlierStartAreGivenBack(t *testing.T) {
+	is := is.New(t)
+	s, view := newScheduler(), poolView{ramp: func(string) *Ramp { return nil }}
+	for i := range 3 {
+		view.targets = append(view.targets, fleet.Target{Name: fmt.Sprint("s", i), Slots: 4, Boot: 1})
+	}
+	now := startTime
+	for range 9 { // starts of the entry, each of which ends before its first request does
+		placed := s.place(request{vm: "e1", id: 1, workspace: "w", deadline: now.Add(time.Second)}, view, now)
+		is.True(placed.target != "")
+		now = now.Add(10 * time.Millisecond)
+	}
+	inUse := func() (n int) {
+		for _, srv := range s.servers {
+			n += srv.inUse
+		}
+		return n
+	}
+	is.Equal(inUse(), 1)
+	s.tick(view, now.Add(time.Minute))
+	is.Equal(inUse(), 0)
+	is.Equal(len(s.running), 0)
+}
+
+// Guards against any order of events after which the slots in use are not those of the requests
+// that run.
+func TestSlotsInUseAreThoseOfRunningRequests(t *testing.T) {
+	for seed := range uint64(50) {
+		is := is.New(t)
+		random := rand.New(rand.NewPCG(seed, 37))
+		s, view := newScheduler(), poolView{ramp: func(string) *Ramp { return nil }}
+		for i := range 4 {
+			view.targets = append(view.targets, fleet.Target{Name: fmt.Sprint("s", i), Slots: 3, Boot: 1})
+		}
+		now := startTime
+		var sent []requestKey // also of requests that have ended: their messages may come late
+		lastID := [3]uint64{}
+		for range 400 {
+			now = now.Add(time.Duration(random.IntN(50)) * time.Millisecond)
+			e := random.IntN(len(lastID))
+			switch random.IntN(6) {
+			case 0, 1, 2:
+				lastID[e]++
+				req := request{vm: fmt.Sprint("e", e), id: lastID[e], workspace: fmt.Sprint("w", random.IntN(2)), deadline: now.Add(time.Second)}
+				s.place(req, view, now)
+				sent = append(sent, req.key())
+			case 3, 4:
+				if len(sent) > 0 {
+					kinds := []health.Kind{health.OK, health.Failed, health.Torn, health.Cancelled, ""}
+					s.done(sent[random.IntN(len(sent))], health.Result{Kind: kinds[random.IntN(len(kinds))]}, now)
+				}
+			default:
+				lastID[e] = 0 // the entry has started again
+				s.tick(view, now)
+			}
+			s.placeQueued(view, now)
+			inUse := 0
+			for _, srv := range s.servers {
+				is.True(srv.inUse >= 0)
+				inUse += srv.inUse
+			}
+			is.Equal(inUse, len(s.assignments))
+		}
+		s.queue = nil
+		s.tick(view, now.Add(time.Minute))
+		is.Equal(len(s.assignments), 0)
+	}
+}
