Count missing founders only while a replica may found the group

The event founding-waits and the metric founders_missing also spoke for replicas that rejoin an existing group, and the metric kept its last value after the founding. The script of the version in production builds in its own folder, which is removed.

--- a/ctrl/bootstrap.go
+++ b/ctrl/bootstrap.go
@@ -31,23 +31,24 @@
 			c.sendFound(to, true)
 		}
 	}
-	if c.identity.IsMember {
+	if c.identity.IsMember || !c.mayFound() {
 		return
 	}
 	missing := c.missingFounders()
-	c.recordMissing(missing)
-	if c.mayFound() && len(missing) == 0 {
+	if len(missing) == 0 {
 		c.bootstrapGroup()
 	}
+	c.recordMissing(missing)
 }
 
 // recordMissing logs which founders the first group waits for, once for each change.
 func (c *Control) recordMissing(missing []string) {
 	c.foundersMissing.Store(int64(len(missing)))
-	if text := strings.Join(missing, " "); text != c.lastMissing {
-		c.lastMissing = text
+	text := strings.Join(missing, " ")
+	if text != "" && text != c.lastMissing {
 		c.options.EventLog.Record(event.FoundingWaits, c.options.VM, "no report yet from "+text)
 	}
+	c.lastMissing = text
 }
 
 // leaderTimeout is the time without a leader after which a member checks whether it
@@ -93,6 +94,16 @@
 	c.enqueue(func() { c.seeds = seeds })
 }
 
+// missingFounderCount returns the number of founders that the first group waits for, 0 once this
+// replica is in a group.
+func (c *Control) missingFounderCount() float64 {
+	s := c.status.Load()
+	if _, member := s.Group.Get(s.ID); member {
+		return 0
+	}
+	return float64(c.foundersMissing.Load())
+}
+
 // missingFounders returns the founders that have not reported yet that they have no group:
 // their addresses in a self-managed group, and their names otherwise.
 func (c *Control) missingFounders() []string {
--- a/ctrl/ctrl.go
+++ b/ctrl/ctrl.go
@@ -162,9 +162,7 @@
 	c.seeds = c.options.Seeds
 	c.remoteGroup.Store(&quorum.Group{})
 	c.started = c.options.Clock.Now()
-	c.options.Meter.GaugeFunc("founders_missing", "Control VMs that the first group waits for.", func() float64 {
-		return float64(c.foundersMissing.Load())
-	})
+	c.options.Meter.GaugeFunc("founders_missing", "Control VMs that the first group waits for.", c.missingFounderCount)
 	if err := c.open(); err != nil {
 		return nil, err
 	}
--- a/ctrl/founding_test.go
+++ b/ctrl/founding_test.go
@@ -3,8 +3,14 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/dottereldeal/dottereldeal/event"
 )
 
 // Guards against a new group that never accepts a change, because founders were killed at some
@@ -70,3 +76,20 @@
 	g.await("complete group", 10*time.Second, func() bool { return g.complete(groupSize) })
 	g.propose(random.IntN(groupSize), newPlan(7, 1))
 }
+
+// Guards against a founding that waits without saying for whom.
+func TestFoundingNamesTheFoundersThatItWaitsFor(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	g := newTestGroup(t)
+	g.start(true, 0)
+	n := g.nodes[0]
+	g.await("missing founders", 2*time.Second, func() bool { return n.missingFounderCount() == 2 })
+	events, _ := n.options.EventLog.Since(0)
+	is.True(slices.ContainsFunc(events, func(e event.Event) bool {
+		return e.Kind == event.FoundingWaits && strings.Contains(e.Detail, g.addrs[1].String())
+	}))
+	g.start(true, 1, 2, 3, 4)
+	g.await("complete group", 4*time.Second, func() bool { return g.complete(groupSize) })
+	is.Equal(n.missingFounderCount(), 0.0)
+}
--- a/prog/production_test.go
+++ b/prog/production_test.go
@@ -7,7 +7,6 @@
 	"path/filepath"
 	"regexp"
 	"strings"
-	"sync"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -38,17 +37,12 @@
 	return exec.Command("git", "cat-file", "-e", commit+"^{commit}").Run() == nil, nil
 }
 
-// buildProduction builds the version in production once.
-var buildProduction = sync.OnceValues(func() (string, error) {
+// productionCommand builds the version in production and sets a variable to the path of its
+// program: production NAME.
+func productionCommand(ts *testscript.TestScript, _ bool, args []string) {
 	commit, err := productionCommit()
-	if err != nil {
-		return "", err
-	}
-	folder, err := os.MkdirTemp("", "production")
-	if err != nil {
-		return "", err
-	}
-	source, binary := filepath.Join(folder, "source"), filepath.Join(folder, "dottereldeal")
+	ts.Check(err)
+	source, binary := ts.MkAbs("production"), ts.MkAbs("dottereldeal-"+commit)
 	steps := [][]string{
 		{"git", "clone", "--quiet", "--shared", "--no-checkout", "..", source},
 		{"git", "-C", source, "checkout", "--quiet", commit},
@@ -56,16 +50,8 @@
 	}
 	for _, step := range steps {
 		if out, err := exec.Command(step[0], step[1:]...).CombinedOutput(); err != nil {
-			return "", fmt.Errorf("%s: %w: %s", strings.Join(step, " "), err, out)
+			ts.Fatalf("%s: %s: %s", strings.Join(step, " "), err, out)
 		}
 	}
-	return binary, nil
-})
-
-// productionCommand sets a variable to the path of the program of the version in production:
-// production NAME.
-func productionCommand(ts *testscript.TestScript, _ bool, args []string) {
-	binary, err := buildProduction()
-	ts.Check(err)
 	ts.Setenv(args[0], binary)
 }
