--- a/ctrl/changes.go
+++ b/ctrl/changes.go
@@ -26,10 +26,10 @@
 // SetDataCentreState sets whether a data centre takes new work. ErrCallerLeft means that ctx was
 // cancelled before the order was proposed.
 func (c *Control) SetDataCentreState(ctx context.Context, name string, s state.DataCentreState, author string) error {
-	return c.proposeOrder(ctx, author, func(current state.State) (state.Object, bool) {
+	return c.proposeOrder(ctx, author, func(current state.State) state.Object {
 		dataCentre, _ := state.Get[state.DataCentre](current, name)
 		dataCentre.Name, dataCentre.State = name, s
-		return dataCentre, true
+		return dataCentre
 	})
 }
 
@@ -47,7 +47,10 @@
 // one under the same name has already left.
 func (c *Control) Deregister(ctx context.Context, name string, boot uint64) error {
 	if boot == 0 {
-		return c.proposeOrder(ctx, name, func(current state.State) (state.Object, bool) { return departure(current, name, 0) })
+		return c.proposeOrder(ctx, name, func(current state.State) state.Object {
+			gone, _ := departure(current, name, 0)
+			return gone
+		})
 	}
 	current, err := c.Current(ctx)
 	if err != nil {
@@ -93,8 +96,8 @@
 // proposeOrder proposes the change of an object by an order that has no version of its own, so
 // that nothing tells a late one from a new one. It therefore takes effect only if its caller was
 // waiting at a time after which the object has not changed.
-func (c *Control) proposeOrder(ctx context.Context, author string, change func(state.State) (state.Object, bool)) error {
-	wait(ctx, closeDelay)
+func (c *Control) proposeOrder(ctx context.Context, author string, change func(state.State) state.Object) error {
+	c.wait(ctx, closeDelay)
 	for {
 		current, err := c.Current(ctx)
 		if err == nil {
@@ -104,13 +107,10 @@
 			err = ErrCallerLeft
 		}
 		if err != nil {
-			c.options.EventLog.Record(event.OrderDropped, author, err.Error())
+			c.options.EventLog.Record(event.OrderDropped, change(c.Ledger().State()).Ref().String(), err.Error())
 			return err
 		}
-		o, due := change(current.State())
-		if !due {
-			return nil
-		}
+		o := change(current.State())
 		err = c.proposeObject(ctx, o, author, unchangedSince(current.State().Index()))
 		c.recordOrder(o, err)
 		if !errors.Is(err, ErrOvertaken) {
@@ -119,16 +119,6 @@
 	}
 }
 
-// wait waits for d or until ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (c *Control) recordOrder(o state.Object, err error) {
 	detail := "accepted"
 	if err != nil {
--- a/ctrl/propose.go
+++ b/ctrl/propose.go
@@ -53,7 +53,7 @@
 		if err := c.do(ctx, func() { proposeErr = c.propose(ask, answer) }); err != nil {
 			return ledger.Outcome{}, err
 		}
-		if proposeErr == ErrGroupTooSmall && !c.waitForRetry(ctx) {
+		if proposeErr == ErrGroupTooSmall && !c.wait(ctx, pollPeriod) {
 			break
 		}
 	}
@@ -120,10 +120,10 @@
 	return nil
 }
 
-// waitForRetry waits for pollPeriod. It returns false if the caller should give up.
-func (c *Control) waitForRetry(ctx context.Context) bool {
+// wait waits for d. It returns false if the caller should give up.
+func (c *Control) wait(ctx context.Context, d time.Duration) bool {
 	select {
-	case <-time.After(pollPeriod):
+	case <-time.After(d):
 		return true
 	case <-ctx.Done():
 		return false
