--- a/ctrl/watch.go
+++ b/ctrl/watch.go
@@ -252,5 +252,6 @@
 // setBeacon stores a beacon that proves recent leadership. Watchers receive it with
 // the next delta.
 func (c *Control) setBeacon(r quorum.ConfirmedRead) {
-	c.beacon = &wire.Beacon{Term: r.Term, Seq: r.Token, Index: c.Ledger().State().Index()}
+	s := c.Ledger().State()
+	c.beacon = &wire.Beacon{Term: r.Term, Seq: r.Token, Index: s.Index(), Digest: s.Digest()}
 }
--- a/event/event.go
+++ b/event/event.go
@@ -37,6 +37,7 @@
 	StateApplied       Kind = "state-applied"
 	StateConfirmed     Kind = "state-confirmed"
 	DeltaFailed        Kind = "delta-failed"
+	StateDiverged      Kind = "state-diverged"
 	KeyWithdrawn       Kind = "key-withdrawn"
 	LeaderElected      Kind = "leader-elected"
 	LeaderLost         Kind = "leader-lost"
