Check full states against the digest that they carry

A full state was applied before the check of the digest, so one that lost records on its way, or was put together from parts of two histories, was served and passed on. TestFullStateThatLacksRecordsIsRefused failed before.

--- a/state/delta.go
+++ b/state/delta.go
@@ -204,15 +204,22 @@
 	}
 	if part.GetFrom() == 0 {
 		// Earlier versions send a lower index of removals with a full state.
-		return Load(part.GetTo(), part.GetTo(), records), true, nil
+		next := Load(part.GetTo(), part.GetTo(), records)
+		return next.verified(current, part)
 	}
 	if part.GetFrom() > current.Index() {
 		return current, false, ErrDeltaGap
 	}
 	next := current.WithRecords(part.GetTo(), records)
-	if part.GetDigest() != 0 && part.GetDigest() != next.Digest() {
+	next.compactedIndex = max(next.compactedIndex, part.GetRemovalsSince())
+	return next.verified(current, part)
+}
+
+// verified returns the state if it is the one that a delta leads to, and otherwise the current
+// one. A delta of a version without digests is not checked.
+func (s State) verified(current State, last *wire.Delta) (State, bool, error) {
+	if last.GetDigest() != 0 && last.GetDigest() != s.digest {
 		return current, false, ErrDigestMismatch
 	}
-	next.compactedIndex = max(next.compactedIndex, part.GetRemovalsSince())
-	return next, true, nil
+	return s, true, nil
 }
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -200,6 +200,19 @@
 	is.Equal(assemble(is, lacking, parts).Index(), uint64(2))
 }
 
+// Guards against a full state that lost a part on its way.
+func TestFullStateThatLacksRecordsIsRefused(t *testing.T) {
+	is := is.New(t)
+	s, _ := state.State{}.WithChange(state.Change{Index: 1, Set: []state.Object{state.Pool{Name: "p"}, state.Pool{Name: "q"}}})
+	parts, err := state.DeltaParts(s, 0)
+	is.NoErr(err)
+	parts[0].Objects = parts[0].Objects[1:]
+	var a state.Assembler
+	_, changed, err := a.Add(state.State{}, parts[0])
+	is.True(errors.Is(err, state.ErrDigestMismatch))
+	is.True(!changed)
+}
+
 // Guards against digests that depend on the way to a state.
 func TestDigestDependsOnTheStateOnly(t *testing.T) {
 	is := is.New(t)
