Replace the state of an entry that differs from the control leader's

Since an entry notices with the next change that it gets from a control VM; without one it went on for good, and a first state that a diverged neighbour passed on was served and confirmed.

The beacon names the digest of the leader's state. An entry with another one at the same index requests the full state at once, from a neighbour while no control VM responds, and replaces its own if the digest is the leader's; a state with a lower index never replaces one. Until then unknown keys and routes get 503, and a first state is not served. Event state-diverged, dottereldeal_state_diverged_total.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -41,6 +41,8 @@
 	ErrNoState = errors.New("no configuration received yet")
 	// ErrUnconfirmed means that the first configuration may be out of date.
 	ErrUnconfirmed = errors.New("the first configuration is not known to be current yet")
+	// ErrDiverged means that the configuration differs from that of the control leader.
+	ErrDiverged = errors.New("the configuration differs from that of the control leader")
 	// ErrStopping means that a planned stop is in progress.
 	ErrStopping = errors.New("this VM is stopping")
 )
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/dottereldeal/dottereldeal/event"
@@ -23,8 +24,11 @@
 	entry *Entry
 	boot  uint64
 
-	mu                sync.Mutex
-	fresh             *fresh.Tracker
+	mu    sync.Mutex
+	fresh *fresh.Tracker
+	// leaderIndex and leaderDigest are those of the leader's state at its last beacon.
+	leaderIndex       uint64
+	leaderDigest      uint64
 	sequence          uint64
 	heartbeatsAllowed bool
 	lastErr           error
@@ -74,7 +78,27 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.fresh.ObserveLeader(item.Version.Boot, item.Version.Count, b.GetIndex(), now)
+	t.leaderIndex, t.leaderDigest = b.GetIndex(), b.GetDigest()
 	t.confirm(t.entry.State(), now)
+	if t.diverges(t.entry.State()) {
+		go t.entry.watcher.repair()
+	}
+}
+
+// diverges reports whether a state differs from the leader's at the same index. It must be called
+// with the lock.
+func (t *freshnessTracker) diverges(s state.State) bool {
+	return t.leaderDigest != 0 && t.leaderIndex == s.Index() && t.leaderDigest != s.Digest()
+}
+
+// checkDivergence returns an error if a state differs from the leader's at the same index.
+func (t *freshnessTracker) checkDivergence(s state.State) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.diverges(s) {
+		return errors.Wrapf(ErrDiverged, "index %d, digest %016x, the leader's is %016x", s.Index(), s.Digest(), t.leaderDigest)
+	}
+	return nil
 }
 
 func (t *freshnessTracker) recordVoterHeartbeat(item fleet.Item) {
@@ -110,7 +134,7 @@
 	if t.firstStateAt.IsZero() {
 		t.firstStateAt = now
 	}
-	err := t.fresh.CheckCurrent(s.Index(), s.ActiveVoters(), now)
+	err := t.checkComplete(s, now)
 	reason := "nothing newer is accepted"
 	if err != nil {
 		if t.entry.options.OnPartition != PartitionServe || now.Sub(t.firstStateAt) < unconfirmedTimeout {
@@ -136,6 +160,14 @@
 func (t *freshnessTracker) checkCurrent(s state.State, now time.Time) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.checkComplete(s, now)
+}
+
+// checkComplete is checkCurrent for callers that hold the lock.
+func (t *freshnessTracker) checkComplete(s state.State, now time.Time) error {
+	if t.diverges(s) {
+		return ErrDiverged
+	}
 	return t.fresh.CheckCurrent(s.Index(), s.ActiveVoters(), now)
 }
 
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -52,10 +53,11 @@
 	deltaSource string
 	lastPartAt  time.Time
 	// diverged is set while this VM's state is known to differ from that of a control VM at
-	// the same index. Only a full state of a control VM repairs that.
-	diverged bool
-	refused  *prometheus.CounterVec
-	feed     state.DeltaCache
+	// the same index. Only a full state repairs that.
+	diverged    bool
+	refused     *prometheus.CounterVec
+	divergences prometheus.Counter
+	feed        state.DeltaCache
 }
 
 // Reasons to refuse a delta.
@@ -71,6 +73,7 @@
 		seeds: e.options.Seeds, assemblers: make(map[string]*state.Assembler),
 		initialRequests: xxhash.Sum64String(e.options.VM),
 		refused:         e.options.Meter.CounterVec("deltas_refused_total", "Updates of the configuration refused, by reason.", "reason"),
+		divergences:     e.options.Meter.Counter("state_diverged_total", "Times that the configuration differed from the control leader's."),
 	}
 }
 
@@ -127,6 +130,7 @@
 		w.request(vm, base, false)
 	}
 	if base != index {
+		w.requestRepair(now)
 		return
 	}
 	if secondary != "" {
@@ -137,6 +141,46 @@
 	}
 }
 
+// requestRepair requests the full state from a neighbour while no control VM responds.
+func (w *configWatcher) requestRepair(now time.Time) {
+	neighbours := w.entry.fleet.Neighbours()
+	if len(neighbours) == 0 || !w.controlSilent(now) || w.receivingDelta(now) {
+		return
+	}
+	w.request(neighbours[rand.IntN(len(neighbours))], 0, false)
+}
+
+// controlSilent reports whether the control VM in use does not respond.
+func (w *configWatcher) controlSilent(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return now.Sub(w.lastResponse) > controlTimeout
+}
+
+// repair replaces the state of this VM if it differs from that of the control leader. Missing
+// changes would otherwise stay unnoticed until the next change arrives from a control VM.
+func (w *configWatcher) repair() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	err := w.entry.freshness.checkDivergence(w.entry.State())
+	if err == nil || len(w.controls) == 0 {
+		return
+	}
+	w.replaceState(w.controls[w.current], err)
+}
+
+// replaceState requests the full state from a control VM because this VM's state differs from
+// that of control. It must be called with the lock.
+func (w *configWatcher) replaceState(control string, reason error) {
+	if w.diverged {
+		return
+	}
+	w.diverged = true
+	w.divergences.Inc()
+	w.entry.options.EventLog.Record(event.StateDiverged, w.entry.State().String(), reason.Error())
+	go w.request(control, 0, false)
+}
+
 // base returns the index that the next delta of a control VM must be based on.
 func (w *configWatcher) base() uint64 {
 	w.mu.Lock()
@@ -198,8 +242,15 @@
 		w.refuse(from, d, refusedUnverified, "delta of another entry without a digest")
 		return
 	}
+	base := previous
+	if w.diverged {
+		if d.GetFrom() > 0 {
+			return
+		}
+		base = state.State{}
+	}
 	_, wantedBefore, _ := assembler.NextPart()
-	next, changed, err := assembler.Add(previous, d)
+	next, changed, err := assembler.Add(base, d)
 	if err == nil && d.GetMore() {
 		w.deltaSource, w.lastPartAt = from, w.entry.options.Clock.Now()
 	}
@@ -208,9 +259,8 @@
 	}
 	if errors.Is(err, state.ErrDigestMismatch) {
 		w.refuse(from, d, refusedDigest, err.Error())
-		if w.isControl(from) && !w.diverged {
-			w.diverged = true
-			go w.request(from, 0, false)
+		if w.isControl(from) && d.GetFrom() > 0 {
+			w.replaceState(from, err)
 		}
 		return
 	}
@@ -218,7 +268,7 @@
 		w.refuse(from, d, refusedInvalid, err.Error())
 		return
 	}
-	if !changed {
+	if !changed || !w.replaces(previous, next) {
 		return
 	}
 	w.lastPartAt, w.diverged = time.Time{}, false
@@ -229,6 +279,15 @@
 	}
 }
 
+// replaces reports whether a state may replace the previous one: it is newer, or repairs a state
+// that differs from the leader's.
+func (w *configWatcher) replaces(previous, next state.State) bool {
+	if next.Index() != previous.Index() {
+		return next.Index() > previous.Index()
+	}
+	return w.entry.freshness.checkDivergence(previous) != nil && w.entry.freshness.checkDivergence(next) == nil
+}
+
 // verifiable reports whether a delta can be checked, or needs no check. Entries of versions
 // without digests send deltas that may lack removals.
 func (w *configWatcher) verifiable(from string, d *wire.Delta) bool {
@@ -302,6 +361,9 @@
 	w.entry.freshness.confirmState(next, w.entry.options.Clock.Now())
 	w.entry.proxy.ApplyConfig(config)
 	w.entry.fleet.SetStateIndex(next.Index())
+	if w.entry.freshness.checkDivergence(next) != nil {
+		go w.repair()
+	}
 }
 
 // describeDelta describes the delta whose last part is d.
--- a/entry/watch_test.go
+++ b/entry/watch_test.go
@@ -110,3 +110,98 @@
 	send("c1", parts) // control holds all removals
 	is.Equal(e.State().Index(), uint64(2))
 }
+
+// newDivergedEntry returns an entry whose state lacks the removal of a pool, the state of
+// control at the same index, and a function that sends the leader's beacon to the entry.
+func newDivergedEntry(t *testing.T) (e *Entry, control state.State, send func(from string, parts []*wire.Delta), sendBeacon func(state.State)) {
+	t.Helper()
+	is := is.New(t)
+	e, send = newWatchedEntry(t)
+	removed := state.Pool{Name: "removed"}
+	control, _ = control.WithChange(state.Change{Index: 1, Set: []state.Object{state.Pool{Name: "kept"}, removed}})
+	first, err := state.DeltaParts(control, 0)
+	is.NoErr(err)
+	send("c1", first)
+	control, _ = control.WithChange(state.Change{Index: 2, Remove: []state.Ref{removed.Ref()}})
+	send("c1", []*wire.Delta{{From: 1, To: 2}}) // as of a version without digests
+	is.Equal(e.State().Index(), control.Index())
+	seq := uint64(0)
+	return e, control, send, func(s state.State) {
+		seq++
+		beacon := &wire.Beacon{Term: 1, Seq: seq, Index: s.Index(), Digest: s.Digest()}
+		send("c1", []*wire.Delta{{From: s.Index(), To: s.Index(), Beacon: beacon}})
+	}
+}
+
+// waitFor waits until a condition holds.
+func waitFor(t *testing.T, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the condition does not hold within 5 s")
+		}
+	}
+}
+
+// Guards against an entry that goes on with a removed route until the next change, because its
+// index is that of control.
+func TestStateThatDiffersFromTheLeadersIsReplacedWithoutAChange(t *testing.T) {
+	for _, from := range []string{"c1", "e2"} {
+		is := is.New(t)
+		e, control, send, sendBeacon := newDivergedEntry(t)
+		sendBeacon(control)
+		waitFor(t, func() bool { return e.watcher.base() == 0 })
+		is.True(e.checkCurrent() != nil)
+
+		later, _ := control.WithChange(state.Change{Index: 3, Set: []state.Object{state.Pool{Name: "later"}}})
+		increment, err := state.DeltaParts(later, 2)
+		is.NoErr(err)
+		send("c1", increment) // repairs nothing
+		is.Equal(e.State().Index(), uint64(2))
+
+		wrong, err := state.DeltaParts(e.State(), 0)
+		is.NoErr(err)
+		send("e2", wrong) // of a neighbour with the same fault
+		is.True(e.State().Digest() != control.Digest())
+
+		full, err := state.DeltaParts(control, 0)
+		is.NoErr(err)
+		send(from, full)
+		is.Equal(e.State().Digest(), control.Digest())
+		is.Equal(e.watcher.base(), uint64(2))
+		is.NoErr(e.checkCurrent())
+	}
+}
+
+// Guards against a repair that takes an entry back to an older state.
+func TestRepairOfAStateNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	e, control, send, sendBeacon := newDivergedEntry(t)
+	sendBeacon(control)
+	waitFor(t, func() bool { return e.watcher.base() == 0 })
+	older, _ := state.State{}.WithChange(state.Change{Index: 1, Set: []state.Object{state.Pool{Name: "removed"}}})
+	full, err := state.DeltaParts(older, 0)
+	is.NoErr(err)
+	send("c1", full)
+	is.Equal(e.State().Index(), uint64(2))
+	is.Equal(e.watcher.base(), uint64(0))
+}
+
+// Guards against a first state that a diverged neighbour passes on.
+func TestFirstStateThatDiffersFromTheLeadersIsNotServed(t *testing.T) {
+	is := is.New(t)
+	diverged, control, _, _ := newDivergedEntry(t)
+	e, send := newWatchedEntry(t)
+	full, err := state.DeltaParts(diverged.State(), 0)
+	is.NoErr(err)
+	send("e2", full)
+	beacon := &wire.Beacon{Term: 1, Seq: 1, Index: control.Index(), Digest: control.Digest()}
+	send("c1", []*wire.Delta{{From: 2, To: 2, Beacon: beacon}})
+	is.True(!e.freshness.isConfirmed())
+
+	full, err = state.DeltaParts(control, 0)
+	is.NoErr(err)
+	waitFor(t, func() bool { return e.watcher.base() == 0 })
+	send("c1", full)
+	is.True(e.freshness.isConfirmed())
+}
