Prefer control's state to that of an entry without digests

A running entry refuses such states. One without any state serves it, but asks control for the full state until it comes, which replaces it at the same index, and passes nothing on meanwhile. TestFullStateOfAnEntryWithoutDigestsIsReplacedByThatOfControl failed before.

--- a/entry/watch.go
+++ b/entry/watch.go
@@ -53,8 +53,10 @@
 	deltaSource string
 	lastPartAt  time.Time
 	// diverged is set while this VM's state is known to differ from that of a control VM at
-	// the same index. Only a full state repairs that.
+	// the same index, and unverified while it may, because an entry of a version without digests
+	// sent it. Only a full state repairs that.
 	diverged    bool
+	unverified  bool
 	refused     *prometheus.CounterVec
 	divergences prometheus.Counter
 	feed        state.DeltaCache
@@ -190,7 +192,7 @@
 
 // baseLocked must be called with the lock.
 func (w *configWatcher) baseLocked() uint64 {
-	if w.diverged {
+	if w.diverged || w.unverified {
 		return 0
 	}
 	return w.entry.State().Index()
@@ -242,11 +244,11 @@
 		w.refuse(from, d, refusedUnverified, "delta of another entry without a digest")
 		return
 	}
+	if w.diverged && d.GetFrom() > 0 {
+		return
+	}
 	base := previous
-	if w.diverged {
-		if d.GetFrom() > 0 {
-			return
-		}
+	if w.baseLocked() == 0 && d.GetFrom() == 0 {
 		base = state.State{}
 	}
 	_, wantedBefore, _ := assembler.NextPart()
@@ -268,10 +270,11 @@
 		w.refuse(from, d, refusedInvalid, err.Error())
 		return
 	}
-	if !changed || !w.replaces(previous, next) {
+	if !changed || !w.replaces(previous, next, from) {
 		return
 	}
 	w.lastPartAt, w.diverged = time.Time{}, false
+	w.unverified = !w.isVerified(from, d)
 	w.apply(next)
 	w.entry.options.EventLog.Record(event.StateApplied, next.String(), describeDelta(from, d))
 	if control := slices.Index(w.controls, from); control >= 0 {
@@ -279,19 +282,29 @@
 	}
 }
 
-// replaces reports whether a state may replace the previous one: it is newer, or repairs a state
-// that differs from the leader's.
-func (w *configWatcher) replaces(previous, next state.State) bool {
+// replaces reports whether a state may replace the previous one: it is newer, or repairs one that
+// is not known to be the same as that of control.
+func (w *configWatcher) replaces(previous, next state.State, from string) bool {
 	if next.Index() != previous.Index() {
 		return next.Index() > previous.Index()
 	}
-	return w.entry.freshness.checkDivergence(previous) != nil && w.entry.freshness.checkDivergence(next) == nil
+	return w.isControl(from) || w.entry.freshness.checkDivergence(previous) != nil && w.entry.freshness.checkDivergence(next) == nil
 }
 
 // verifiable reports whether a delta can be checked, or needs no check. Entries of versions
-// without digests send deltas that may lack removals.
+// without digests send states and deltas that may lack removals. Without any state, one of those
+// is better than none.
 func (w *configWatcher) verifiable(from string, d *wire.Delta) bool {
-	return d.GetFrom() == 0 || d.GetDigest() != 0 || w.isControl(from)
+	return d.GetDigest() != 0 || w.isControl(from) || d.GetFrom() == 0 && w.entry.State().Index() == 0
+}
+
+// isVerified reports whether the state to which a delta has led is that of control, as far as its
+// sender can know.
+func (w *configWatcher) isVerified(from string, d *wire.Delta) bool {
+	if d.GetDigest() != 0 {
+		return true
+	}
+	return w.isControl(from) && (d.GetFrom() == 0 || !w.unverified)
 }
 
 func (w *configWatcher) isControl(vm string) bool { return slices.Contains(w.controls, vm) }
@@ -374,7 +387,7 @@
 // serve responds to an entry that requests updates.
 func (w *configWatcher) serve(from string, request *wire.Watch) {
 	current := w.entry.State()
-	if current.Index() <= request.GetIndex() {
+	if current.Index() <= request.GetIndex() || w.base() != current.Index() {
 		return
 	}
 	parts, large, err := w.feed.Parts(current, request.GetIndex(), request.GetTo(), request.GetPart(), request.GetUnpacks(), w.entry.options.Clock.Now())
--- a/entry/watch_test.go
+++ b/entry/watch_test.go
@@ -205,3 +205,32 @@
 	send("c1", full)
 	is.True(e.freshness.isConfirmed())
 }
+
+// Guards against a full state of an entry of a version without digests (77feffd), which may hold a
+// route that was removed before.
+func TestFullStateOfAnEntryWithoutDigestsIsReplacedByThatOfControl(t *testing.T) {
+	is := is.New(t)
+	e, send := newWatchedEntry(t)
+	kept, removed := state.Pool{Name: "kept"}, state.Pool{Name: "removed"}
+	control, _ := state.State{}.WithChange(state.Change{Index: 1, Set: []state.Object{kept, removed}})
+	wrong := state.Load(2, 0, control.Records())
+	control, _ = control.WithChange(state.Change{Index: 2, Remove: []state.Ref{removed.Ref()}})
+	full := func(s state.State) []*wire.Delta {
+		parts, err := state.DeltaParts(s, 0)
+		is.NoErr(err)
+		for _, part := range parts {
+			part.Digest = 0
+		}
+		return parts
+	}
+
+	send("e2", full(wrong))
+	is.Equal(e.State().Index(), uint64(2)) // better than no state
+	is.Equal(e.watcher.base(), uint64(0))
+	send("c1", full(control))
+	is.Equal(e.State().Digest(), control.Digest())
+	is.Equal(e.watcher.base(), uint64(2))
+
+	send("e2", full(state.Load(3, 0, wrong.Records())))
+	is.Equal(e.State().Digest(), control.Digest()) // it would go back
+}
