Sync what a control process restores before it votes or counts by it

Cause: Open returned what it read, also what was only in the memory of the kernel, and counted it as synced. The names of renamed files were not synced either, so a power loss could bring back the identity or the log of before, whose successor had been removed.

Open now syncs the log and the folder; one sync of each at a start.

Evidence: TestStateRestoredAfterKillSurvivesPowerLoss kills before each file operation, restarts and then drops what is not synced.

--- a/store/store.go
+++ b/store/store.go
@@ -64,8 +64,9 @@
 	writeErr error
 }
 
-// Open reads the state from a folder and opens its log for writing. An empty folder
-// gives an empty PersistedState.
+// Open reads the state from a folder, syncs it and opens its log for writing. An empty folder
+// gives an empty PersistedState. A process that was killed may have left data that can be read
+// but is not on the disk yet.
 func Open(folder Folder) (*Storage, quorum.PersistedState, error) {
 	s := &Storage{folder: folder}
 	epoch, found, err := newestEpoch(folder)
@@ -79,9 +80,22 @@
 	if err != nil {
 		return nil, quorum.PersistedState{}, err
 	}
+	if err := s.syncRestored(); err != nil {
+		s.Close()
+		return nil, quorum.PersistedState{}, err
+	}
 	return s, restored, s.removeObsoleteFiles()
 }
 
+// syncRestored syncs the log and the names of all files. The contents of the other files are
+// synced before they are renamed.
+func (s *Storage) syncRestored() error {
+	if err := s.log.Sync(); err != nil {
+		return err
+	}
+	return s.folder.Sync()
+}
+
 // Reopen opens a folder after a failed write. After a failed sync, data that can be read
 // back is not necessarily on the disk, so the whole state is written and synced again.
 func Reopen(folder Folder) (*Storage, quorum.PersistedState, error) {
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -95,6 +95,78 @@
 	}
 }
 
+// Guards against a replica that votes or counts an entry by data of a killed process that was
+// not synced, and forgets it in the next power loss (LOST).
+func TestStateRestoredAfterKillSurvivesPowerLoss(t *testing.T) {
+	for operations := 0; ; operations++ {
+		folder := newMemoryFolder()
+		folder.operationsLeft = operations
+		err := runWithIdentity(folder)
+		folder.operationsLeft = -1 // the process is restarted
+		identity, restored, openErr := open(folder)
+		if openErr != nil {
+			t.Fatalf("kill before operation %d: %s", operations, openErr)
+		}
+		for seed := range uint64(20) {
+			if err := checkRestored(folder.afterPowerLoss(rand.New(rand.NewPCG(seed, uint64(operations)))), identity, restored); err != nil {
+				t.Fatalf("kill before operation %d, seed %d: %s", operations, seed, err)
+			}
+		}
+		if err == nil {
+			return
+		}
+	}
+}
+
+// open loads the identity, or saves a new one, and opens the storage, as a starting process does.
+func open(folder Folder) (Identity, quorum.PersistedState, error) {
+	identity, known, err := LoadIdentity(folder)
+	if err == nil && !known {
+		identity = Identity{ID: 7, VM: "c1", MayFound: true}
+		err = SaveIdentity(folder, identity)
+	}
+	if err != nil {
+		return identity, quorum.PersistedState{}, err
+	}
+	_, restored, err := Open(folder)
+	return identity, restored, err
+}
+
+// runWithIdentity runs the workload of a replica that becomes a member.
+func runWithIdentity(folder Folder) error {
+	if err := SaveIdentity(folder, Identity{ID: 7, VM: "c1", MayFound: true}); err != nil {
+		return err
+	}
+	storage, _, err := Open(folder)
+	if err != nil {
+		return err
+	}
+	if err := SaveIdentity(folder, Identity{ID: 7, VM: "c1", IsMember: true}); err != nil {
+		return err
+	}
+	return (&workload{storage: storage}).run()
+}
+
+// checkRestored expects a folder to hold what was restored from it before.
+func checkRestored(folder Folder, identity Identity, before quorum.PersistedState) error {
+	now, _, err := LoadIdentity(folder)
+	if err != nil {
+		return err
+	}
+	if now.ID != identity.ID || now.IsMember != identity.IsMember {
+		return errors.Errorf("identity %v, was %v", now, identity)
+	}
+	_, restored, err := Open(folder)
+	if err != nil {
+		return err
+	}
+	if restored.HardState != before.HardState || restored.Snapshot.Index != before.Snapshot.Index || len(restored.Entries) != len(before.Entries) {
+		return errors.Errorf("%v, snapshot %d and %d entries, was %v, snapshot %d and %d entries", restored.HardState, restored.Snapshot.Index,
+			len(restored.Entries), before.HardState, before.Snapshot.Index, len(before.Entries))
+	}
+	return nil
+}
+
 // folderWithEntries returns a folder with ten synced entries and the name of its log.
 func folderWithEntries(t *testing.T) (*memoryFolder, string) {
 	t.Helper()
