--- a/quorum/replication.go
+++ b/quorum/replication.go
@@ -134,8 +134,8 @@
 	}
 }
 
-// handleSnapshot installs the leader's snapshot unless its entries are already
-// committed here.
+// handleSnapshot installs the leader's snapshot unless its entries are in the log here. The
+// entries after them may have been acknowledged.
 func (n *Node) handleSnapshot(m Message) {
 	n.followLeader(m.From)
 	s := m.Snapshot
@@ -145,6 +145,12 @@
 		n.send(answer)
 		return
 	}
+	if term, ok := n.log.term(s.Index); ok && term == s.Term {
+		n.commitTo(s.Index)
+		answer.Index = s.Index
+		n.send(answer)
+		return
+	}
 	n.log.reset(s.Index, s.Term)
 	n.snapshot = *s
 	n.commitIndex, n.lastApplied, n.persisted = s.Index, s.Index, s.Index
