--- a/ctrl/group_test.go
+++ b/ctrl/group_test.go
@@ -30,12 +30,16 @@
 	nodes []*testNode // nil while stopped
 	// full marks the replicas whose disks are full.
 	full [maxReplicas]atomic.Bool
+	// disks replace the folders under path, if there are any.
+	disks []*powerDisk
 }
 
 type testNode struct {
 	*Control
 	cancel context.CancelFunc
 	done   chan struct{}
+	// silent is set once the replica sends nothing any more.
+	silent *atomic.Bool
 }
 
 const (
@@ -62,32 +66,43 @@
 func (g *testGroup) start(bootstrap bool, list ...int) {
 	g.tb.Helper()
 	for _, i := range list {
-		folder, err := store.OpenFolder(g.folder(i))
-		if err != nil {
-			g.tb.Fatal(err)
-		}
+		folder, closeFolder := g.openFolder(i)
 		l, err := net.Listen("tcp", g.addrs[i].String())
 		if err != nil {
 			g.tb.Fatal(err)
 		}
 		timers := clock.New()
+		silent := &atomic.Bool{}
 		control, err := New(&fullFolder{folder, &g.full[i]}, l, VM(g.vm(i)), Advertise(g.addrs[i]), Seeds(g.addrs[:groupSeeds]),
-			Bootstrap(bootstrap), MaxFailures(groupFailures), Clock(timers))
+			Bootstrap(bootstrap), MaxFailures(groupFailures), Clock(timers), Drop(func(string) bool { return silent.Load() }))
 		if err != nil {
 			g.tb.Fatal(err)
 		}
 		ctx, cancel := context.WithCancel(context.Background())
-		n := &testNode{Control: control, cancel: cancel, done: make(chan struct{})}
+		n := &testNode{Control: control, cancel: cancel, done: make(chan struct{}), silent: silent}
 		go func() {
 			defer close(n.done)
 			control.Run(ctx)
-			folder.Close()
+			closeFolder()
 			timers.Stop()
 		}()
 		g.nodes[i] = n
 	}
 }
 
+// openFolder opens the data folder of a replica.
+func (g *testGroup) openFolder(i int) (folder store.Folder, closeFolder func()) {
+	g.tb.Helper()
+	if g.disks != nil {
+		return g.disks[i].open(), func() {}
+	}
+	disk, err := store.OpenFolder(g.folder(i))
+	if err != nil {
+		g.tb.Fatal(err)
+	}
+	return disk, func() { disk.Close() }
+}
+
 func (g *testGroup) stop(list ...int) {
 	for _, i := range list {
 		if n := g.nodes[i]; n != nil {
--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -239,6 +239,11 @@
 	if !due {
 		return nil
 	}
+	return c.writeSnapshot()
+}
+
+// writeSnapshot replaces the log up to the last applied entry by a snapshot.
+func (c *Control) writeSnapshot() error {
 	data, err := c.Ledger().Snapshot()
 	if err != nil {
 		return err
