Replace a lost founder though data waits for its disk

A group of three founders in a fleet that tolerates two failures stood still for good once one of their disks was lost and the leader was restarted, if its log held data: no change was accepted, nobody could join (RECOVER). With another one restarted it was the same before anything was acknowledged, if a change was on its way when the disk was lost.

Cause: data needs losses + 1 = 3 synced voters, and membership changes waited for the commit index. It stops at data that two disks hold, also if three had held it before the restart, because the commit index is not kept on disk. So the voter whose disk is missing could not be replaced.

The leader now knows two indexes: agreed (a majority holds it for good, Raft's commit), which membership changes and the promotion of learners go by, and committed (data on losses + 1 disks as well), which is applied and acknowledged. While the old voter is removed and the learner not yet promoted, two voters are left; data then needs the learner's disk too, where two disks were enough before.

--- a/ctrl/durability_test.go
+++ b/ctrl/durability_test.go
@@ -372,3 +372,30 @@
 		}
 	}
 }
+
+// Guards against founders that are left alone, and stand still for good once one of their disks is
+// lost in a power loss (RECOVER).
+func TestFoundersAloneRecoverFromOneLostDisk(t *testing.T) {
+	for seed := range uint64(groupSeeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			p := newPowerRun(t, seed)
+			founders := []int{0, 1, 2}
+			p.boot(true, founders...)
+			p.propose(0, newPlan(7, 7)) // once the others are late
+			p.kill(founders...)
+			for _, disk := range p.disks {
+				disk.losePower()
+			}
+			p.disks[seed] = newPowerDisk(seed)
+			p.boot(false, founders...)
+			p.await("complete group", recovery, func() bool { return p.complete(groupSeeds) })
+			for _, i := range founders {
+				if version := p.read(i); version != 7 {
+					t.Fatalf("%s holds version %d", p.vm(i), version)
+				}
+			}
+			p.propose(0, newPlan(8, 8))
+		})
+	}
+}
--- a/ctrl/repair.go
+++ b/ctrl/repair.go
@@ -48,7 +48,7 @@
 	joining []quorum.Replica
 	// silence returns the time since the last message from a replica.
 	silence func(quorum.ID) time.Duration
-	// caughtUp reports whether a replica holds every committed entry.
+	// caughtUp reports whether a replica holds every entry that a majority holds for good.
 	caughtUp func(quorum.ID) bool
 	// wantedVoters is the number of voters that the group should have.
 	wantedVoters int
@@ -186,7 +186,7 @@
 		silence: func(id quorum.ID) time.Duration {
 			return now.Sub(latest(c.lastHeard[id], c.leaderSince))
 		},
-		caughtUp: func(id quorum.ID) bool { return s.Match[id] >= s.CommitIndex },
+		caughtUp: func(id quorum.ID) bool { return s.Match[id] >= s.AgreedIndex },
 	}
 	for _, r := range c.joining {
 		if now.Sub(r.lastHeard) < joinTimeout {
--- a/ctrl/replica.go
+++ b/ctrl/replica.go
@@ -178,7 +178,7 @@
 func (c *Control) awaitCommit(ctx context.Context, index uint64) error {
 	for {
 		s := c.status.Load()
-		if s.CommitIndex >= index {
+		if s.AgreedIndex >= index {
 			return nil
 		}
 		if s.Role != quorum.Leader {
@@ -190,9 +190,9 @@
 	}
 }
 
-// awaitCaughtUp waits until a replica has synced everything committed so far.
+// awaitCaughtUp waits until a replica has synced everything that a majority holds for good so far.
 func (c *Control) awaitCaughtUp(ctx context.Context, id quorum.ID) error {
-	target := c.status.Load().CommitIndex
+	target := c.status.Load().AgreedIndex
 	for {
 		s := c.status.Load()
 		if s.Role != quorum.Leader {
--- a/quorum/election.go
+++ b/quorum/election.go
@@ -97,6 +97,7 @@
 	n.elapsedTicks = 0
 	n.votes = nil
 	n.pendingReads = nil
+	n.agreedIndex = max(n.agreedIndex, n.commitIndex)
 	n.progress = make(map[ID]*progress)
 	n.syncProgress()
 	n.appendEntry(Entry{Kind: NoopEntry})
--- a/quorum/leader.go
+++ b/quorum/leader.go
@@ -98,7 +98,7 @@
 	if !r.Learner {
 		return n.groupIndex, nil
 	}
-	if p := n.progress[id]; p == nil || p.matchIndex < n.commitIndex || !p.recentlyActive {
+	if p := n.progress[id]; p == nil || p.matchIndex < n.agreedIndex || !p.recentlyActive {
 		return 0, ErrNotCaughtUp
 	}
 	r.Learner = false
@@ -118,16 +118,16 @@
 }
 
 // changeGroup proposes a group that differs from the current one by one replica.
-// Only one change may be pending, and none before the leader has committed an entry
-// of its own term.
+// Only one change may be pending, and none before a majority holds an entry of the leader's own
+// term. Data that too few disks hold does not delay a change, which may bring the missing disk.
 func (n *Node) changeGroup(g Group) (uint64, error) {
 	if n.role != Leader {
 		return 0, ErrNotLeader
 	}
-	if term, ok := n.log.term(n.commitIndex); !ok || term != n.term {
+	if term, ok := n.log.term(n.agreedIndex); !ok || term != n.term {
 		return 0, ErrNotReady
 	}
-	if n.groupIndex > n.commitIndex {
+	if n.groupIndex > n.agreedIndex {
 		return 0, ErrChangePending
 	}
 	index := n.appendEntry(Entry{Kind: MembershipEntry, Group: g})
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -19,6 +19,9 @@
 	log         memoryLog
 	snapshot    Snapshot
 	commitIndex uint64
+	// agreedIndex is the highest index that a majority was known to hold for good while this
+	// replica led. Entries of data up to it may still wait for MinSyncedVoters.
+	agreedIndex uint64
 	// persisted is the index of the last entry synced to the local disk.
 	persisted uint64
 
@@ -106,7 +109,7 @@
 func (n *Node) Status() Status {
 	s := Status{
 		ID: n.id, Role: n.role, Term: n.term, Leader: n.leader,
-		LastIndex: n.log.last(), CommitIndex: n.commitIndex, Group: n.group,
+		LastIndex: n.log.last(), CommitIndex: n.commitIndex, AgreedIndex: max(n.agreedIndex, n.commitIndex), Group: n.group,
 	}
 	if n.role == Leader {
 		s.Match = map[ID]uint64{n.id: n.persisted}
--- a/quorum/options.go
+++ b/quorum/options.go
@@ -21,8 +21,8 @@
 	// is sent nevertheless.
 	BatchBytes int
 	// MinSyncedVoters is the minimum number of voters that must have synced an entry of data
-	// before it is committed, or all voters if there are fewer. A majority is required
-	// in any case.
+	// before it is committed, or all voters if there are fewer; then learners must have as well, up
+	// to that number. A majority is required in any case.
 	MinSyncedVoters int
 	// Random is the source of the election timeouts.
 	Random *rand.Rand
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -172,6 +172,9 @@
 	Leader      ID
 	LastIndex   uint64
 	CommitIndex uint64
+	// AgreedIndex is the highest index that a majority is known to hold for good, whether it may
+	// be applied already or not.
+	AgreedIndex uint64
 	Group       Group
 	// Match is the highest index that each replica is known to have synced, set on the
 	// leader only.
--- a/quorum/replication.go
+++ b/quorum/replication.go
@@ -204,22 +204,27 @@
 // MinSyncedVoters of them, have synced. Entries of earlier terms are committed only
 // together with one of the current term (Raft, section 5.4.2).
 func (n *Node) advanceCommit() {
-	var matches []uint64
+	var voters, members []uint64
 	for _, r := range n.group.replicas {
-		switch {
-		case r.Learner:
-		case r.ID == n.id:
-			matches = append(matches, n.persisted)
-		default:
-			matches = append(matches, n.progress[r.ID].matchIndex)
+		match := n.persisted
+		if r.ID != n.id {
+			match = n.progress[r.ID].matchIndex
+		}
+		members = append(members, match)
+		if !r.Learner {
+			voters = append(voters, match)
 		}
 	}
-	if len(matches) == 0 {
+	if len(voters) == 0 {
 		return
 	}
-	slices.Sort(matches)
-	needed := max(n.group.QuorumSize(), min(n.options.MinSyncedVoters, len(matches)))
-	index := n.extendWithoutData(matches[len(matches)-needed], matches[len(matches)-n.group.QuorumSize()])
+	majority := heldBy(n.group.QuorumSize(), voters)
+	if term, ok := n.log.term(majority); ok && term == n.term {
+		n.agreedIndex = max(n.agreedIndex, majority)
+	}
+	// While a voter is replaced, the learner's disk makes up for the one that is missing.
+	synced := min(majority, heldBy(n.options.MinSyncedVoters, voters), heldBy(n.options.MinSyncedVoters, members))
+	index := n.extendWithoutData(synced, majority)
 	term, ok := n.log.term(index)
 	if index <= n.commitIndex || !ok || term != n.term {
 		return
@@ -228,6 +233,12 @@
 	n.commitAdvanced()
 }
 
+// heldBy returns the highest index that count replicas hold, or all if there are fewer.
+func heldBy(count int, matches []uint64) uint64 {
+	slices.Sort(matches)
+	return matches[len(matches)-max(1, min(count, len(matches)))]
+}
+
 // extendWithoutData returns the highest index up to last that follows index without an entry of
 // data between. MinSyncedVoters protects what was acknowledged; changes of the group need a
 // majority only, so that a lost replica can be replaced.
--- a/quorum/schedule_test.go
+++ b/quorum/schedule_test.go
@@ -65,6 +65,7 @@
 	noCrashes            bool // no crashes while effects are processed
 	frequentGroupChanges bool // attempt a membership change after a quarter of the steps
 	batchBytes           int  // the BatchBytes option of all replicas
+	minSynced            int  // the MinSyncedVoters option of all replicas
 }
 
 func newSimulation(seed uint64) *simulation {
@@ -75,6 +76,7 @@
 	size := []int{1, 3, 3, 4, 5}[s.rng.IntN(5)]
 	s.batchBytes = []int{0, 1 << 20}[s.rng.IntN(2)]
 	s.frequentGroupChanges = s.rng.IntN(3) == 0
+	s.minSynced = []int{0, 2, 3}[rand.New(rand.NewPCG(seed, 1)).IntN(3)]
 	var replicas []Replica
 	for i := range size {
 		replicas = append(replicas, Replica{ID: ID(i + 1), VM: fmt.Sprint("c", i+1)})
@@ -95,7 +97,7 @@
 
 func (s *simulation) start(r *simReplica) {
 	node, err := New(r.id, PersistedState{HardState: r.disk.hard, Snapshot: r.disk.snapshot, Entries: r.disk.entries},
-		Random(s.rng), ElectionTicks(4), BatchBytes(s.batchBytes))
+		Random(s.rng), ElectionTicks(4), BatchBytes(s.batchBytes), MinSyncedVoters(s.minSynced))
 	if err != nil {
 		s.fail("restart replica %d: %s", r.id, err)
 		return
@@ -349,7 +351,13 @@
 		r.paused = false
 		s.restart(r)
 	}
-	for range 400 {
+	s.settle(400)
+	s.checkProgress()
+}
+
+// settle lets time pass without faults.
+func (s *simulation) settle(ticks int) {
+	for range ticks {
 		for _, id := range s.ids() {
 			s.tick(s.replicas[id])
 			s.restart(s.replicas[id])
@@ -363,7 +371,6 @@
 			}
 		}
 	}
-	s.checkProgress()
 }
 
 func (s *simulation) checkProgress() {
