Let an order take effect when its caller follows a redirect

At an order waited 50 ms for the end of its caller's connection, and held if that end did not come. That is a guess at how far behind a request its connection ends: on a slow link, or at a process that is short of processor time, it is further behind.

Now a first call changes nothing: it is answered with 307 (PROTOCOL: callers follow it twice) to the same path with the index of a state read after the call. Who follows it was waiting at that state, and the leader drops the order if its object has changed after it. No time is involved, no connection need be watched, and an order whose second call is held up is as harmless as one whose first is.

Tests changed: orders in order_test.go name the index that their caller read; the order whose connection ends (TestOrderEndsWithTheConnectionOfItsCaller) is now the second call. Both ask for the same effects as before, and an order of a known index no longer holds by waiting.

--- a/ctrl/changes.go
+++ b/ctrl/changes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"github.com/go-faster/errors"
 
@@ -23,10 +22,10 @@
 	return c.Propose(ctx, ledger.Proposal{Ticket: plan, Digest: digest, Author: author})
 }
 
-// SetDataCentreState sets whether a data centre takes new work. ErrCallerLeft means that ctx was
-// cancelled before the order was proposed.
-func (c *Control) SetDataCentreState(ctx context.Context, name string, s state.DataCentreState, author string) error {
-	return c.proposeOrder(ctx, author, func(current state.State) state.Object {
+// SetDataCentreState sets whether a data centre takes new work, unless that has been set after
+// the state index since, which the caller read before it gave the order.
+func (c *Control) SetDataCentreState(ctx context.Context, name string, s state.DataCentreState, author string, since uint64) error {
+	return c.proposeOrder(ctx, author, since, func(current state.State) state.Object {
 		dataCentre, _ := state.Get[state.DataCentre](current, name)
 		dataCentre.Name, dataCentre.State = name, s
 		return dataCentre
@@ -42,16 +41,9 @@
 	return c.proposeObject(ctx, t, t.Name)
 }
 
-// Deregister records that a start of a backend server has left. boot identifies the start; at 0
-// it is unknown, and the one that is registered is meant. A start that was replaced by a later
-// one under the same name has already left.
+// Deregister records that a start of a backend server has left. A start that was replaced by a
+// later one under the same name has already left.
 func (c *Control) Deregister(ctx context.Context, name string, boot uint64) error {
-	if boot == 0 {
-		return c.proposeOrder(ctx, name, func(current state.State) state.Object {
-			gone, _ := departure(current, name, 0)
-			return gone
-		})
-	}
 	current, err := c.Current(ctx)
 	if err != nil {
 		return err
@@ -64,6 +56,15 @@
 	return c.proposeObject(ctx, gone, name)
 }
 
+// DeregisterPresent records that the start of a backend server that is registered has left, unless
+// its registration has changed after the state index since, which the caller read before.
+func (c *Control) DeregisterPresent(ctx context.Context, name string, since uint64) error {
+	return c.proposeOrder(ctx, name, since, func(current state.State) state.Object {
+		gone, _ := departure(current, name, 0)
+		return gone
+	})
+}
+
 // departure returns the registration that marks a start of a server as gone, and whether that
 // start may still be registered. boot is 0 for the start that is registered.
 func departure(current state.State, name string, boot uint64) (state.Target, bool) {
@@ -89,34 +90,36 @@
 	return t, known, nil
 }
 
-// closeDelay is how long after an order the end of its caller's connection may arrive. An order
-// that was held up on a link or at a process that stood still comes with that end behind it.
-const closeDelay = 50 * time.Millisecond
-
 // proposeOrder proposes the change of an object by an order that has no version of its own, so
-// that nothing tells a late one from a new one. It therefore takes effect only if its caller was
-// waiting at a time after which the object has not changed.
-func (c *Control) proposeOrder(ctx context.Context, author string, change func(state.State) state.Object) error {
-	c.wait(ctx, closeDelay)
-	for {
-		current, err := c.Current(ctx)
-		if err == nil {
-			err = ctx.Err()
-		}
-		if errors.Is(ctx.Err(), context.Canceled) {
-			err = ErrCallerLeft
-		}
-		if err != nil {
-			c.options.EventLog.Record(event.OrderDropped, change(c.Ledger().State()).Ref().String(), err.Error())
-			return err
-		}
-		o := change(current.State())
-		err = c.proposeObject(ctx, o, author, unchangedSince(current.State().Index()))
-		c.recordOrder(o, err)
-		if !errors.Is(err, ErrOvertaken) {
-			return err
-		}
+// that nothing in it tells a late one from a new one. Its caller has read the state index since
+// before it gave the order; ErrOvertaken means that the object has changed after that index.
+func (c *Control) proposeOrder(ctx context.Context, author string, since uint64, change func(state.State) state.Object) error {
+	o, err := c.dueOrder(ctx, since, change)
+	if err != nil {
+		c.options.EventLog.Record(event.OrderDropped, change(c.Ledger().State()).Ref().String(), err.Error())
+		return err
+	}
+	err = c.proposeObject(ctx, o, author, unchangedSince(since))
+	c.recordOrder(o, err)
+	return err
+}
+
+// dueOrder returns the object that an order sets. The leader checks since again; a leader of a
+// version without conditions does not.
+func (c *Control) dueOrder(ctx context.Context, since uint64, change func(state.State) state.Object) (state.Object, error) {
+	current, err := c.Current(ctx)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return nil, ErrCallerLeft
+	}
+	if err != nil {
+		return nil, err
+	}
+	o := change(current.State())
+	record, known := current.State().Record(o.Ref())
+	if known && record.Index > since || since > current.State().Index() {
+		return nil, ErrOvertaken
 	}
+	return o, nil
 }
 
 func (c *Control) recordOrder(o state.Object, err error) {
--- a/ctrl/durability_test.go
+++ b/ctrl/durability_test.go
@@ -133,7 +133,10 @@
 			}
 			p.mu.Unlock()
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			err := c.SetDataCentreState(ctx, name, order, "test")
+			current, err := c.Current(ctx)
+			if err == nil {
+				err = c.SetDataCentreState(ctx, name, order, "test", current.State().Index())
+			}
 			cancel()
 			p.acknowledged(err == nil, func() { p.orders[name] = order })
 		}
--- a/ctrl/order_test.go
+++ b/ctrl/order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 	"time"
 
@@ -25,6 +26,24 @@
 	return g, leader, (leader + 1) % groupSize
 }
 
+// order gives an order to a replica as a caller does that has just read the state there.
+func (g *testGroup) order(ctx context.Context, i int, s state.DataCentreState) error {
+	g.tb.Helper()
+	return g.nodes[i].SetDataCentreState(ctx, dataCentre, s, "test", g.index(i))
+}
+
+// index returns the state index, as read at a replica.
+func (g *testGroup) index(i int) uint64 {
+	g.tb.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	current, err := g.nodes[i].Current(ctx)
+	if err != nil {
+		g.tb.Fatal(err)
+	}
+	return current.State().Index()
+}
+
 // out returns whether the data centre is out of service, as read at a replica.
 func (g *testGroup) out(ctx context.Context, i int) bool {
 	g.tb.Helper()
@@ -43,11 +62,11 @@
 	g, leader, follower := newCompleteGroup(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	is.NoErr(g.nodes[leader].SetDataCentreState(ctx, dataCentre, state.DataCentreOut, "test"))
+	is.NoErr(g.order(ctx, leader, state.DataCentreOut))
 	for _, i := range []int{leader, follower} {
 		left, leave := context.WithCancel(ctx)
 		leave()
-		is.True(g.nodes[i].SetDataCentreState(left, dataCentre, state.DataCentreIn, "test") != nil)
+		is.True(g.order(left, i, state.DataCentreIn) != nil)
 	}
 	time.Sleep(500 * time.Millisecond) // an order that was sent to the leader takes effect meanwhile
 	is.True(g.out(ctx, leader))
@@ -61,14 +80,14 @@
 	g, leader, follower := newCompleteGroup(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	is.NoErr(g.nodes[leader].SetDataCentreState(ctx, dataCentre, state.DataCentreOut, "test"))
+	is.NoErr(g.order(ctx, leader, state.DataCentreOut))
 	for _, i := range []int{leader, follower} {
 		read, err := g.nodes[i].Current(ctx)
 		is.NoErr(err)
 		late := state.DataCentre{Name: dataCentre, State: state.DataCentreIn}
 		// The evacuation is taken back and ordered again meanwhile.
-		is.NoErr(g.nodes[leader].SetDataCentreState(ctx, dataCentre, state.DataCentreIn, "test"))
-		is.NoErr(g.nodes[leader].SetDataCentreState(ctx, dataCentre, state.DataCentreOut, "test"))
+		is.NoErr(g.order(ctx, leader, state.DataCentreIn))
+		is.NoErr(g.order(ctx, leader, state.DataCentreOut))
 		err = g.nodes[i].proposeObject(ctx, late, "test", unchangedSince(read.State().Index()))
 		is.True(errors.Is(err, ErrOvertaken))
 		is.True(g.out(ctx, leader))
@@ -80,6 +99,27 @@
 	}
 }
 
+// Guards against an order that waits at a process, or on a link, while its caller gives later
+// orders elsewhere, and undoes them when it is read (EVAC).
+func TestLateOrderDoesNotUndoTheLaterOnesOfItsCaller(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	g, leader, follower := newCompleteGroup(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	is.NoErr(g.order(ctx, leader, state.DataCentreOut))
+	for _, i := range []int{leader, follower} {
+		since := g.index(i)
+		is.NoErr(g.order(ctx, leader, state.DataCentreOut)) // changes nothing but the caller's will
+		err := g.nodes[i].SetDataCentreState(ctx, dataCentre, state.DataCentreIn, "test", since)
+		is.True(errors.Is(err, ErrOvertaken))
+		is.True(g.out(ctx, leader))
+		err = g.nodes[i].SetDataCentreState(ctx, dataCentre, state.DataCentreIn, "test", math.MaxUint64)
+		is.True(errors.Is(err, ErrOvertaken)) // an index that nobody was told
+		is.True(g.out(ctx, leader))
+	}
+}
+
 // Guards against an order that is accepted although one before it in the log, which is not
 // applied yet, changes the same object.
 func TestOrderIsDroppedForOneThatIsNotAppliedYet(t *testing.T) {
@@ -143,10 +183,15 @@
 	// A caller that names no start and has left by now means nothing.
 	left, leave := context.WithCancel(ctx)
 	leave()
-	is.True(g.nodes[follower].Deregister(left, "s1", 0) != nil)
+	is.True(g.nodes[follower].DeregisterPresent(left, "s1", g.index(leader)) != nil)
 	time.Sleep(500 * time.Millisecond) // an order that was sent to the leader takes effect meanwhile
 	is.Equal(phase(), state.TargetWarm)
-	is.NoErr(g.nodes[follower].Deregister(ctx, "s1", 0))
+	// One whose caller read the state before the present start means an earlier one.
+	before := g.index(leader)
+	is.NoErr(g.nodes[leader].Register(ctx, newServer(4, 1)))
+	is.True(errors.Is(g.nodes[follower].DeregisterPresent(ctx, "s1", before), ErrOvertaken))
+	is.Equal(phase(), state.TargetWarm)
+	is.NoErr(g.nodes[follower].DeregisterPresent(ctx, "s1", g.index(leader)))
 	is.Equal(phase(), state.TargetGone)
 }
 
--- a/prog/commands_test.go
+++ b/prog/commands_test.go
@@ -25,6 +25,13 @@
 		"request":    requestCommand,
 		"certs":      certsCommand,
 		"production": productionCommand,
+		"controls":   controlsCommand,
+		"replace":    replaceCommand,
+		"signal":     signalCommand,
+		"abandon":    abandonCommand,
+		"late":       lateCommand,
+		"order":      orderCommand,
+		"state":      stateCommand,
 	}
 }
 
--- a/prog/prog_test.go
+++ b/prog/prog_test.go
@@ -18,6 +18,6 @@
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:  "testdata/script",
-		Cmds: commands(), Condition: inHistory,
+		Cmds: commands(), Condition: inHistory, Setup: setupGroup,
 	})
 }
