--- a/ctrl/ctrl.go
+++ b/ctrl/ctrl.go
@@ -113,6 +113,7 @@
 	joining map[string]joiningReplica
 	// lastHeard is the time of the last message from each replica.
 	lastHeard map[quorum.ID]time.Time
+	contacts  contacts
 	// seeds are the addresses of control VMs in the current settings.
 	seeds []netip.AddrPort
 	// lastLeader is the last time at which a leader was known.
@@ -158,6 +159,7 @@
 		bootstrapReplies: make(map[string]*wire.Found),
 		joining:          make(map[string]joiningReplica),
 		lastHeard:        make(map[quorum.ID]time.Time),
+		contacts:         make(contacts),
 	}
 	c.seeds = c.options.Seeds
 	c.remoteGroup.Store(&quorum.Group{})
@@ -269,6 +271,7 @@
 			f()
 		case m := <-c.inbox:
 			c.lastHeard[m.From] = c.options.Clock.Now()
+			c.contacts.heard(c.vms[m.From], c.lastHeard[m.From])
 			c.node.Step(m)
 		}
 		if err := c.drainEffects(); err != nil && !c.reopen(ctx, err) {
--- a/ctrl/forward.go
+++ b/ctrl/forward.go
@@ -173,7 +173,11 @@
 func (c *Control) serveProposal(from string, m *wire.ProposalAsk) {
 	c.serveForwarded(from, func(ctx context.Context) *wire.Envelope {
 		answer := &wire.ProposalAnswer{}
-		outcome, err := c.proposeLocally(ctx, m)
+		var outcome ledger.Outcome
+		err := c.checkForwarded(ctx, from, m)
+		if err == nil {
+			outcome, err = c.proposeLocally(ctx, m)
+		}
 		if err != nil {
 			answer.Error, answer.Overtaken = err.Error(), errors.Is(err, ErrOvertaken)
 		} else {
