Leave it to the ledger whether a start of a server may still depart

The check of an older start in `departure` could be left out without a failing test: the ledger refuses such a record too (state.Target.Supersedes). The ledger is meant to: it judges when the record is applied, after everything before it in the log, while the check read a state that may have changed since, and each replica judges the same way, also. The second rule is gone; Deregister asks the ledger that it has read (AcceptsRegistration), as Register does, so that a late call costs no record of the log and is logged as dropped.

Each part now has a test that fails without it: with Supersedes ignoring the start, TestDepartureOfAnEarlierStartIsIgnored (new) and TestLateDeregistrationLeavesTheNextStart fail; without the check in Deregister the latter fails ("8 != 7, nothing was proposed"). The two tests of `departure` ask the ledger where they asked its second result.

--- a/ctrl/changes.go
+++ b/ctrl/changes.go
@@ -48,8 +48,8 @@
 	if err != nil {
 		return err
 	}
-	gone, due := departure(current.State(), name, boot)
-	if !due {
+	gone := departure(current.State(), name, boot)
+	if !current.AcceptsRegistration(gone) {
 		c.options.EventLog.Record(event.OrderDropped, name, fmt.Sprintf("deregistration of start %d, which has left already", boot))
 		return nil
 	}
@@ -60,23 +60,17 @@
 // its registration has changed after the state index since, which the caller read before.
 func (c *Control) DeregisterPresent(ctx context.Context, name string, since uint64) error {
 	return c.proposeOrder(ctx, name, since, func(current state.State) state.Object {
-		gone, _ := departure(current, name, 0)
-		return gone
+		t, _ := state.Get[state.Target](current, name)
+		return departure(current, name, t.Boot)
 	})
 }
 
-// departure returns the registration that marks a start of a server as gone, and whether that
-// start may still be registered. boot is 0 for the start that is registered.
-func departure(current state.State, name string, boot uint64) (state.Target, bool) {
-	t, known := state.Get[state.Target](current, name)
-	if boot != 0 && known && t.Boot > boot {
-		return t, false
-	}
-	if boot != 0 {
-		t.Boot = boot
-	}
-	t.Name, t.Phase, t.Count = name, state.TargetGone, state.LastCount
-	return t, true
+// departure returns the registration that marks a start of a server as gone. The ledger judges
+// whether that start may still be registered.
+func departure(current state.State, name string, boot uint64) state.Target {
+	t, _ := state.Get[state.Target](current, name)
+	t.Name, t.Boot, t.Phase, t.Count = name, boot, state.TargetGone, state.LastCount
+	return t
 }
 
 // Registered returns the last accepted registration of a backend server, and whether it
--- a/ctrl/order_test.go
+++ b/ctrl/order_test.go
@@ -172,8 +172,10 @@
 	}
 	is.NoErr(g.nodes[leader].Register(ctx, newServer(1, 5)))
 	is.NoErr(g.nodes[leader].Register(ctx, newServer(2, 1)))
+	before := g.nodes[leader].status.Load().CommitIndex
 	is.NoErr(g.nodes[follower].Deregister(ctx, "s1", 1))
 	is.Equal(phase(), state.TargetWarm)
+	is.Equal(g.nodes[leader].status.Load().CommitIndex, before) // nothing was proposed
 	is.NoErr(g.nodes[follower].Deregister(ctx, "s1", 2))
 	is.Equal(phase(), state.TargetGone)
 	is.NoErr(g.nodes[follower].Deregister(ctx, "s1", 2)) // sent again
@@ -187,9 +189,9 @@
 	time.Sleep(500 * time.Millisecond) // an order that was sent to the leader takes effect meanwhile
 	is.Equal(phase(), state.TargetWarm)
 	// One whose caller read the state before the present start means an earlier one.
-	before := g.index(leader)
+	since := g.index(leader)
 	is.NoErr(g.nodes[leader].Register(ctx, newServer(4, 1)))
-	is.True(errors.Is(g.nodes[follower].DeregisterPresent(ctx, "s1", before), ErrOvertaken))
+	is.True(errors.Is(g.nodes[follower].DeregisterPresent(ctx, "s1", since), ErrOvertaken))
 	is.Equal(phase(), state.TargetWarm)
 	is.NoErr(g.nodes[follower].DeregisterPresent(ctx, "s1", g.index(leader)))
 	is.Equal(phase(), state.TargetGone)
@@ -205,8 +207,8 @@
 			l, _ = l.Apply(index, ledger.Proposal{Ticket: ticket.Ticket{Number: ledger.SystemNumber, Set: []state.Object{target}}})
 		}
 		apply(1, newServer(boot, 1))
-		gone, due := departure(l.State(), "s1", boot)
-		is.True(due)
+		gone := departure(l.State(), "s1", boot)
+		is.True(l.AcceptsRegistration(gone))
 		apply(2, newServer(boot, 40).WithPhase(state.TargetLeaving))
 		apply(3, gone)
 		apply(4, newServer(boot, 41))
@@ -220,8 +222,8 @@
 func TestDeregistrationOfAnUnknownServerHolds(t *testing.T) {
 	is := is.New(t)
 	l := ledger.New(ledger.DefaultDedupWindow)
-	gone, due := departure(l.State(), "s1", 7)
-	is.True(due)
+	gone := departure(l.State(), "s1", 7)
+	is.True(l.AcceptsRegistration(gone))
 	l, _ = l.Apply(1, ledger.Proposal{Ticket: ticket.Ticket{Set: []state.Object{gone}}})
 	l, _ = l.Apply(2, ledger.Proposal{Ticket: ticket.Ticket{Set: []state.Object{newServer(7, 3)}}})
 	known, _ := state.Get[state.Target](l.State(), "s1")
--- a/ledger/target_test.go
+++ b/ledger/target_test.go
@@ -37,6 +37,17 @@
 	is.Equal(phaseOf(l, "s1"), state.TargetCold) // a new start is accepted
 }
 
+// Guards against a server that is taken out by the departure of an earlier start, which was
+// judged before the present start registered (FLOOR).
+func TestDepartureOfAnEarlierStartIsIgnored(t *testing.T) {
+	is := is.New(t)
+	gone := server("s1", 100, state.LastCount, state.TargetGone)
+	l := applyRegistrations(server("s1", 100, 5, state.TargetWarm), server("s1", 200, 1, state.TargetWarm))
+	is.True(!l.AcceptsRegistration(gone))
+	l = applyRegistrations(server("s1", 100, 5, state.TargetWarm), server("s1", 200, 1, state.TargetWarm), gone)
+	is.Equal(phaseOf(l, "s1"), state.TargetWarm)
+}
+
 func TestReorderedAnnouncementIsIgnored(t *testing.T) {
 	is := is.New(t)
 	l := applyRegistrations(server("s1", 100, 9, state.TargetLeaving), server("s1", 100, 8, state.TargetWarm))
