Accept nothing in a group of founders after a restart either

Founders that were restarted before the group had five voters acknowledged changes with three voters. Two of their disks lost, no majority was left to read what was acknowledged (LOST).

Cause: whether the group is still forming was asked only with the settings of a first start, which a restarted leader does not have. The leader now goes by the number of voters alone, for 3 s at most as before. A new leader of a group of four, while a replica is replaced, waits until it is promoted.

--- a/ctrl/durability_test.go
+++ b/ctrl/durability_test.go
@@ -307,6 +307,22 @@
 		}
 		p.pause(100 * time.Millisecond)
 	},
+	// All founders are restarted before the group is extended.
+	"restarted-founders": func(p *powerRun) {
+		p.boot(true, 0, 1, 2)
+		p.await("group of the founders", recovery, func() bool { return p.complete(groupSeeds) })
+		p.kill(0, 1, 2)
+		p.operate()
+		p.boot(false, p.random.Perm(groupSeeds)...)
+		p.pause(500 * time.Millisecond)
+		p.boot(true, 3, 4)
+		select {
+		case <-p.firstAck:
+		case <-time.After(recovery):
+			p.tb.Fatal("no acknowledgement")
+		}
+		p.pause(20 * time.Millisecond)
+	},
 	"blank-disk": func(p *powerRun) {
 		p.founded()
 		p.spent = p.random.IntN(groupSize)
--- a/ctrl/repair.go
+++ b/ctrl/repair.go
@@ -14,7 +14,7 @@
 	// replicaTimeout is the silence after which a replica may be replaced. It is twice
 	// the longest election timeout, so that an election alone replaces no replica.
 	replicaTimeout = 2 * time.Second
-	// formationTimeout is how long a new group that is too small to tolerate
+	// formationTimeout is how long a new leader of a group that is too small to tolerate
 	// MaxFailures accepts no tickets. A group of five is complete within a second;
 	// after the timeout a fleet with fewer VMs starts all the same.
 	formationTimeout = 3 * time.Second
@@ -203,11 +203,11 @@
 // fullSize is the number of voters that still have a majority after MaxFailures.
 func (o Options) fullSize() int { return 2*o.MaxFailures + 1 }
 
-// forming reports whether a bootstrapped group is still too small to continue after
-// MaxFailures. A ticket accepted now would survive on the remaining disks, but no
-// majority would be left to read it.
+// forming reports whether a group is still too small to continue after MaxFailures. A ticket
+// accepted now would survive on the remaining disks, but no majority would be left to read it.
+// The leader may have been restarted since the group was founded.
 func (c *Control) forming(now time.Time) bool {
-	if !c.selfManaged() || !c.options.Bootstrap || c.reachedFullSize {
+	if !c.selfManaged() || c.reachedFullSize {
 		return false
 	}
 	c.reachedFullSize = c.node.Status().Group.VoterCount() >= c.options.fullSize()
