Draw the random seeds of a test before its operators start

go test -race of TestAcknowledgedChangesSurviveLostDisksAndAPowerLossOfAllOthers reported a data race of the operators and the test on one source.

--- a/ctrl/durability_test.go
+++ b/ctrl/durability_test.go
@@ -104,10 +104,11 @@
 
 // operate starts operators that send plans and evacuations until the power loss.
 func (p *powerRun) operate() {
+	ofPlans := rand.New(rand.NewPCG(1, p.random.Uint64()))
+	ofOrders := rand.New(rand.NewPCG(2, p.random.Uint64()))
 	p.operators.Go(func() {
-		random := rand.New(rand.NewPCG(1, p.random.Uint64()))
 		for version := uint64(1); ; version++ {
-			c, ok := p.pick(random)
+			c, ok := p.pick(ofPlans)
 			if !ok {
 				return
 			}
@@ -118,14 +119,13 @@
 		}
 	})
 	p.operators.Go(func() {
-		random := rand.New(rand.NewPCG(2, p.random.Uint64()))
 		for {
-			c, ok := p.pick(random)
+			c, ok := p.pick(ofOrders)
 			if !ok {
 				return
 			}
-			name := fmt.Sprint("d", random.IntN(3))
-			order := []state.DataCentreState{state.DataCentreOut, state.DataCentreIn}[random.IntN(2)]
+			name := fmt.Sprint("d", ofOrders.IntN(3))
+			order := []state.DataCentreState{state.DataCentreOut, state.DataCentreIn}[ofOrders.IntN(2)]
 			p.mu.Lock()
 			before := p.orders[name]
 			if before != order {
