--- a/ctrl/ctrl.go
+++ b/ctrl/ctrl.go
@@ -124,7 +124,7 @@
 	lastMissing string
 	// lastRepairError is the last logged reason for a delayed membership change.
 	lastRepairError string
-	// reachedFullSize is set once the group has had its full number of voters.
+	// reachedFullSize is set once this process has seen the full number of voters in the group.
 	reachedFullSize bool
 	// firstIndex is the state index of the first ticket applied here, or of the
 	// first snapshot loaded with a ticket; 0 before either.
--- a/ctrl/repair.go
+++ b/ctrl/repair.go
@@ -210,8 +210,7 @@
 	if !c.selfManaged() || c.reachedFullSize {
 		return false
 	}
-	c.reachedFullSize = c.node.Status().Group.VoterCount() >= c.options.fullSize()
-	return !c.reachedFullSize && now.Sub(c.leaderSince) < formationTimeout
+	return now.Sub(c.leaderSince) < formationTimeout
 }
 
 func latest(a, b time.Time) time.Time {
