--- /dev/null
+++ b/soak/record.go
@@ -0,0 +1,138 @@
+package soak
+
+import (
+	"sync"
+	"time"
+)
+
+// Request is a request as its client saw it.
+type Request struct {
+	ID         string
+	Entry      string
+	Prefix     string
+	Idempotent bool
+	Sent       time.Time
+	Done       time.Time
+	// Status is 0 if there was no whole answer.
+	Status int
+	// Kept says whether the connection was used before.
+	Kept bool
+}
+
+// Arrival is a request that a backend server began to run.
+type Arrival struct {
+	ID     string
+	Server string
+	Pool   string
+	Centre string
+	At     time.Time
+}
+
+// Order is a call of the operator until it was acknowledged or given up.
+type Order struct {
+	Action  Action
+	Version int
+	Centre  string
+	// Sent is the time of the first copy.
+	Sent time.Time
+	// Acked is zero if no copy had a clear answer.
+	Acked time.Time
+	// By is the control VM that acknowledged it.
+	By string
+	// Refused is the status of a refusal.
+	Refused int
+}
+
+// Fault is something that was done to a process, or its end.
+type Fault struct {
+	VM      string
+	Control bool
+	Action  Action
+	At      time.Time
+}
+
+// Record is what clients, backend servers and the operator saw, and the faults.
+type Record struct {
+	Start    time.Time
+	Configs  []Config
+	Requests []Request
+	Runs     []Arrival
+	Orders   []Order
+	Faults   []Fault
+}
+
+// recorder collects a record.
+type recorder struct {
+	mu     sync.Mutex
+	record Record
+	// ends are the ends of processes that were not asked to end.
+	ends []string
+	// down says of which processes the end is expected.
+	down map[string]bool
+}
+
+func newRecorder(configs []Config) *recorder {
+	return &recorder{record: Record{Start: time.Now(), Configs: configs}, down: make(map[string]bool)}
+}
+
+func (r *recorder) request(q Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record.Requests = append(r.record.Requests, q)
+}
+
+func (r *recorder) run(run Arrival) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record.Runs = append(r.record.Runs, run)
+}
+
+// order notes an order when its first copy is sent, and returns its number.
+func (r *recorder) order(o Order) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record.Orders = append(r.record.Orders, o)
+	return len(r.record.Orders) - 1
+}
+
+func (r *recorder) answered(n int, by string, refused int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o := &r.record.Orders[n]
+	o.By, o.Refused = by, refused
+	if refused == 0 {
+		o.Acked = time.Now()
+	}
+}
+
+func (r *recorder) fault(p *process, a Action) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down[p.vm] = a == Kill
+	r.record.Faults = append(r.record.Faults, Fault{VM: p.vm, Control: p.control, Action: a, At: time.Now()})
+}
+
+// exit notes the end of a process.
+func (r *recorder) exit(vm string, _ int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.down[vm] {
+		r.ends = append(r.ends, vm)
+	}
+}
+
+// ending says that all processes are about to be killed.
+func (r *recorder) ending() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, f := range r.record.Faults {
+		r.down[f.VM] = true
+	}
+}
+
+// done returns the record and the processes that ended by themselves.
+func (r *recorder) done() (Record, []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.record, r.ends
+}
--- /dev/null
+++ b/soak/server.go
@@ -0,0 +1,220 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	heartbeatPeriod = 1500 * time.Millisecond
+	callTimeout     = time.Second
+	serverSlots     = 16
+	serviceTime     = 5 * time.Millisecond
+)
+
+// server is a stand-in backend server that registers itself.
+type server struct {
+	id, pool, centre string
+	addr             string
+	fleet            *fleet
+	record           *recorder
+	http             *http.Server
+	born             int64
+	count            int
+}
+
+func startServer(ctx context.Context, id, pool, centre string, f *fleet, r *recorder, group *sync.WaitGroup) (*server, error) {
+	l, err := net.Listen("tcp", f.base+".1.200:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &server{id: id, pool: pool, centre: centre, addr: l.Addr().String(), fleet: f, record: r, born: time.Now().UnixMilli()}
+	s.http = &http.Server{Handler: s}
+	group.Go(func() { s.http.Serve(l) })
+	group.Go(func() {
+		<-ctx.Done()
+		s.http.Close()
+	})
+	group.Go(func() { s.register(ctx) })
+	return s, nil
+}
+
+func (s *server) register(ctx context.Context) {
+	ticker := time.NewTicker(heartbeatPeriod)
+	defer ticker.Stop()
+	for {
+		s.count++
+		body := render(heartbeatTemplate, map[string]any{
+			"Addr": s.addr, "Born": s.born, "Pool": s.pool, "Centre": s.centre, "Slots": serverSlots, "Count": s.count,
+		})
+		nodes := s.fleet.platformAddrs()
+		rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+		for _, node := range nodes {
+			if status, err := post(ctx, node, names.Heartbeat+s.id, body); err == nil && status/100 == 2 {
+				break
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// post makes a call on a connection of its own and closes that after a second.
+func post(ctx context.Context, node, path string, body []byte) (status int, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Close = true
+	response, err := callTransport.RoundTrip(request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
+var callTransport = &http.Transport{DisableKeepAlives: true}
+
+// ServeHTTP implements http.Handler.
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/health" {
+		w.Header().Set(names.Instance, s.id)
+		return
+	}
+	if expected := r.Header.Get(names.Expected); expected != "" && expected != s.id {
+		w.Header().Set(names.Instance, s.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	id := r.Header.Get(names.RequestID)
+	s.record.run(Arrival{ID: id, Server: s.id, Pool: s.pool, Centre: s.centre, At: time.Now()})
+	io.Copy(io.Discard, r.Body)
+	time.Sleep(serviceTime)
+	w.Header().Set(names.RequestID, id)
+	w.Header().Set(names.Proof, "proof-"+id)
+	fmt.Fprintf(w, "%s by %s\n", id, s.id)
+}
+
+// clients send requests to all entries.
+type clients struct {
+	fleet  *fleet
+	record *recorder
+	kept   *http.Transport
+	fresh  *http.Transport
+	count  atomic.Uint64
+	// recent are the prefixes that clients ask for: all that are present, and the last that were
+	// added and dropped.
+	mu     sync.Mutex
+	recent []Route
+}
+
+func newClients(f *fleet, r *recorder) *clients {
+	return &clients{fleet: f, record: r, kept: &http.Transport{MaxIdleConnsPerHost: 8}, fresh: &http.Transport{DisableKeepAlives: true}}
+}
+
+// follow lets clients ask for the routes of a version, and go on asking for those that it drops.
+func (c *clients) follow(routes []Route) {
+	const keep = 24
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range routes {
+		known := false
+		for _, old := range c.recent {
+			known = known || old.Prefix == r.Prefix
+		}
+		if !known {
+			c.recent = append(c.recent, r)
+		}
+	}
+	if n := len(c.recent) - keep; n > 0 {
+		c.recent = append(c.recent[:steadyRoutes:steadyRoutes], c.recent[steadyRoutes+n:]...)
+	}
+}
+
+const (
+	clientTimeout = time.Second
+	// maxPending bounds the requests of a client that wait for an entry that stands still.
+	maxPending = 20
+)
+
+// ask sends requests to an entry until ctx is done.
+func (c *clients) ask(ctx context.Context, p *process, interval time.Duration) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	var group sync.WaitGroup
+	defer group.Wait()
+	pending := make(chan struct{}, maxPending)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		select {
+		case pending <- struct{}{}:
+		default:
+			continue
+		}
+		c.mu.Lock()
+		route := c.recent[rand.IntN(len(c.recent))]
+		c.mu.Unlock()
+		group.Go(func() {
+			c.send(p, route)
+			<-pending
+		})
+	}
+}
+
+func (c *clients) send(p *process, route Route) {
+	n := c.count.Add(1)
+	q := Request{
+		ID: fmt.Sprintf("%016x", n), Entry: p.vm, Prefix: route.Prefix, Idempotent: route.Idempotent, Kept: n%2 == 0,
+	}
+	method, body := http.MethodGet, io.Reader(nil)
+	if !q.Idempotent {
+		method, body = http.MethodPost, bytes.NewReader([]byte("contract "+q.ID))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.fleet.addr(p, "callers")+route.Prefix+q.ID, body)
+	if err != nil {
+		panic(err)
+	}
+	// Without GetBody, net/http does not send a request again by itself.
+	request.GetBody = nil
+	request.Host = "soak.example"
+	request.Header.Set(names.RequestID, q.ID)
+	request.Header.Set(names.Deadline, fmt.Sprint(clientTimeout.Milliseconds()))
+	request.Header.Set("Authorization", names.Authorization)
+	transport := c.fresh
+	if q.Kept {
+		transport = c.kept
+	}
+	q.Sent = time.Now()
+	response, err := transport.RoundTrip(request)
+	if err == nil {
+		_, err = io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+		if err == nil {
+			q.Status = response.StatusCode
+		}
+	}
+	q.Done = time.Now()
+	c.record.request(q)
+}
