--- a/prog/control.go
+++ b/prog/control.go
@@ -20,6 +20,7 @@
 	replicas := set.Peers("replicas", "control VMs of the first start, as NAME=IP:PORT,..., if there are no --seeds")
 	founding := set.Bool("found", "this is the first start of the whole fleet: the VMs of --seeds found the group")
 	losses := set.Int("losses", "control VMs that may be lost at the same time", 0, conf.Default("0"))
+	advertise := set.Addr("advertise", "IP:PORT of the links as other VMs reach it, if not --listen")
 	platformAddr := set.Addr("platform-listen", "IP:PORT for the calls of the users' platform")
 	return func(set *conf.Set, s streams) int {
 		if _, ok := (*replicas)[*common.vm]; !ok && *common.vm != "" && len(*found.seeds) == 0 {
@@ -38,11 +39,14 @@
 		if unusable(set, s) {
 			return exitUsage
 		}
+		if !advertise.IsValid() {
+			*advertise = *common.listen
+		}
 		c := controlProcess{
 			process: newProcess(common, identity, listeners, s), found: found, bounds: bounds,
 			options: []ctrl.Option{
 				ctrl.Replicas(*replicas), ctrl.Seeds(found.links(*common.listen)), ctrl.Bootstrap(*founding),
-				ctrl.Advertise(*common.listen), ctrl.MaxFailures(*losses),
+				ctrl.Advertise(*advertise), ctrl.MaxFailures(*losses),
 			},
 		}
 		return c.run(set, *folder)
