--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -36,8 +36,6 @@
 	old    bool
 	cmd    *exec.Cmd
 	exited chan struct{}
-	// life counts the starts.
-	life int
 }
 
 // fleet holds the processes of a run.
@@ -51,6 +49,8 @@
 	entries  []*process
 	record   *recorder
 	starts   chan startRequest
+	// network forwards the links, or is nil if processes reach each other directly.
+	network *network
 }
 
 type startRequest struct {
@@ -58,15 +58,15 @@
 	done chan error
 }
 
-func newFleet(dir, binary, old string, size Size, r *recorder) (*fleet, error) {
+func newFleet(dir, binary, old string, shape Shape, proxied bool, r *recorder) (*fleet, error) {
 	f := &fleet{
 		dir: dir, binary: binary, old: old, record: r, base: fmt.Sprintf("127.%d", 64+os.Getpid()%128),
 		ports: make(map[string]int), starts: make(chan startRequest),
 	}
-	for i := range size.Controls {
+	for i := range shape.Controls {
 		f.controls = append(f.controls, &process{vm: controlName(i), control: true, index: i, centre: centres[i%len(centres)], old: old != ""})
 	}
-	for i := range size.Entries {
+	for i := range shape.Entries {
 		f.entries = append(f.entries, &process{vm: entryName(i), index: i, centre: centres[i%len(centres)], old: old != ""})
 	}
 	for _, p := range f.all() {
@@ -79,10 +79,25 @@
 		}
 		f.ports[use] = port
 	}
+	if proxied {
+		var err error
+		if f.network, err = newNetwork(f); err != nil {
+			return nil, err
+		}
+	}
 	go f.starter()
 	return f, nil
 }
 
+// linkAddr returns the address of the proxy before the links of a process.
+func (f *fleet) linkAddr(p *process) string {
+	group := 101
+	if p.control {
+		group = 102
+	}
+	return fmt.Sprintf("%s.%d.%d:%d", f.base, group, p.index+1, f.ports["links"])
+}
+
 func (f *fleet) newIP(p *process) string {
 	group := 1
 	if p.control {
@@ -154,17 +169,33 @@
 const seedCount = 3
 
 func (f *fleet) flags(p *process, bootstrap bool) []string {
-	seeds := strings.Join(f.platformAddrs()[:min(seedCount, len(f.controls))], ",")
-	common := []string{
+	list := []string{
 		"--vm", f.name(p), "--data-centre", p.centre, "--listen", f.addr(p, "links"), "--admin", f.addr(p, "admin"),
-		"--seeds", seeds, "--memory-limit", "284", "--platform-bounds", names.Bounds,
+		"--memory-limit", "284", "--platform-bounds", names.Bounds,
+	}
+	if p.control {
+		list = append(append([]string{"control"}, list...), "--data-folder", filepath.Join(f.dir, f.name(p)+"-data"),
+			"--platform-listen", f.addr(p, "platform"), "--losses", strconv.Itoa((len(f.controls)-1)/2))
+	} else {
+		list = append(append([]string{"entry"}, list...), "--callers", f.addr(p, "callers"), "--ready", f.addr(p, "ready"),
+			"--when-cut-off", "serve", "--placement", "holder", "--keep-connections", "4s")
+	}
+	if f.network == nil {
+		list = append(list, "--seeds", strings.Join(f.platformAddrs()[:min(seedCount, len(f.controls))], ","))
+		if p.control {
+			list = append(list, "--found="+strconv.FormatBool(bootstrap))
+		}
+		return list
 	}
+	var peers []string
+	for _, c := range f.controls {
+		peers = append(peers, c.vm+"="+f.linkAddr(c))
+	}
+	list = append(list, "--advertise", f.linkAddr(p))
 	if p.control {
-		return append(append([]string{"control"}, common...), "--data-folder", filepath.Join(f.dir, f.name(p)+"-data"),
-			"--platform-listen", f.addr(p, "platform"), "--found="+strconv.FormatBool(bootstrap), "--losses", strconv.Itoa((len(f.controls)-1)/2))
+		return append(list, "--replicas", strings.Join(peers, ","))
 	}
-	return append(append([]string{"entry"}, common...), "--callers", f.addr(p, "callers"), "--ready", f.addr(p, "ready"),
-		"--when-cut-off", "serve", "--placement", "holder", "--keep-connections", "4s")
+	return append(list, "--control", strings.Join(peers, ","))
 }
 
 // name returns the name that a process goes by; that of a replaced VM is new.
@@ -200,17 +231,26 @@
 		return err
 	}
 	p.cmd, p.exited = cmd, exited
-	p.life++
 	f.record.fault(p, Start)
-	vm, life := p.vm, p.life
 	go func() {
 		cmd.Wait()
-		f.record.exit(vm, life)
+		f.record.exit(p.vm)
 		close(exited)
 	}()
 	return nil
 }
 
+func (f *fleet) running(p *process) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
 // signal sends a signal to the process, and reports whether it runs.
 func (f *fleet) signal(p *process, s syscall.Signal) bool {
 	p.mu.Lock()
@@ -242,7 +282,13 @@
 		f.record.fault(p, Kill)
 		f.kill(p)
 	case Start:
+		if f.running(p) {
+			return nil
+		}
 		return f.start(p, false)
+	case Silence, Refuse, Join:
+		f.record.fault(p, s.Action)
+		f.network.setLinks(p.vm, s.Action)
 	case Replace:
 		f.record.fault(p, Kill)
 		f.kill(p)
@@ -274,6 +320,9 @@
 
 // end kills all processes.
 func (f *fleet) end() {
+	if f.network != nil {
+		defer f.network.close()
+	}
 	for _, p := range f.all() {
 		f.kill(p)
 	}
--- a/soak/options.go
+++ b/soak/options.go
@@ -8,8 +8,8 @@
 	Binary string
 	// Old is the program that runs at first in a mix, or "".
 	Old string
-	// Size is the number of processes.
-	Size Size
+	// Shape is the number of processes.
+	Shape Shape
 	// Keep is the folder for what a failed run leaves, or "".
 	Keep string
 	// Progress receives lines for people.
@@ -26,7 +26,7 @@
 func Old(path string) Option { return func(o *Options) { o.Old = path } }
 
 // Processes sets the number of processes.
-func Processes(s Size) Option { return func(o *Options) { o.Size = s } }
+func Processes(s Shape) Option { return func(o *Options) { o.Shape = s } }
 
 // Keep sets the folder for what a failed run leaves.
 func Keep(dir string) Option { return func(o *Options) { o.Keep = dir } }
@@ -35,7 +35,7 @@
 func Progress(w io.Writer) Option { return func(o *Options) { o.Progress = w } }
 
 func newOptions(opts ...Option) Options {
-	o := Options{Size: Size{Controls: 5, Entries: 9}, Progress: io.Discard}
+	o := Options{Shape: Shape{Controls: 5, Entries: 9}, Progress: io.Discard}
 	for _, opt := range opts {
 		opt(&o)
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -22,6 +22,11 @@
 	Start     Action = "start"
 	// Replace ends a control VM for good and starts a blank one at another address.
 	Replace Action = "replace"
+	// Silence, Refuse and Join change the links between a process and all control VMs: they hold
+	// what is sent, refuse connections, or work again.
+	Silence Action = "silence"
+	Refuse  Action = "refuse"
+	Join    Action = "join"
 	// Upgrade stops a process in order and starts it with the other program.
 	Upgrade Action = "upgrade"
 )
@@ -66,16 +71,24 @@
 
 // Plan is everything that a seed decides.
 type Plan struct {
-	Seed    uint64        `json:"seed"`
-	Span    time.Duration `json:"span"`
-	Steps   []Step        `json:"steps"`
-	Configs []Config      `json:"configs"`
+	Seed uint64        `json:"seed"`
+	Span time.Duration `json:"span"`
+	// Proxied says whether links go through proxies, so that they can be cut. Control VMs are
+	// replaced only where they do not.
+	Proxied bool     `json:"proxied"`
+	Steps   []Step   `json:"steps"`
+	Configs []Config `json:"configs"`
 }
 
-// Size is the number of processes of a fleet.
-type Size struct {
+// Shape says what a fleet consists of.
+type Shape struct {
 	Controls int
 	Entries  int
+	// Mix says that two versions run side by side.
+	Mix bool
+	// Direct says that no links go through proxies: earlier versions of control cannot advertise
+	// the address of one.
+	Direct bool
 }
 
 var (
@@ -99,7 +112,7 @@
 // planner builds a plan. end is the time of the last fault.
 type planner struct {
 	random *rand.Rand
-	size   Size
+	shape  Shape
 	end    time.Duration
 	plan   Plan
 	// nextRoute numbers the routes: a dropped one does not come back.
@@ -107,14 +120,15 @@
 }
 
 // NewPlan returns the plan of a seed.
-func NewPlan(seed uint64, span time.Duration, size Size, mix bool) Plan {
-	p := &planner{random: rand.New(rand.NewPCG(seed, 14)), size: size, end: span - calmTime, plan: Plan{Seed: seed, Span: span}}
+func NewPlan(seed uint64, span time.Duration, shape Shape) Plan {
+	p := &planner{random: rand.New(rand.NewPCG(seed, 14)), shape: shape, end: span - calmTime, plan: Plan{Seed: seed, Span: span}}
+	p.plan.Proxied = p.random.IntN(3) > 0 && !shape.Direct
 	p.firstConfig()
-	if mix {
+	if shape.Mix {
 		p.upgrades()
 	}
 	for at := settleTime; at < p.end; {
-		at += p.episode(at, mix)
+		at += p.episode(at)
 	}
 	slices.SortStableFunc(p.plan.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return p.plan
@@ -156,7 +170,7 @@
 		c.Routes = append(c.Routes, p.newRoute())
 	}
 	p.plan.Configs = append(p.plan.Configs, c)
-	p.add(Step{At: at, Action: Configure, Version: c.Version, First: p.random.IntN(p.size.Controls)})
+	p.add(Step{At: at, Action: Configure, Version: c.Version, First: p.random.IntN(p.shape.Controls)})
 }
 
 // storm sends versions in quick succession.
@@ -182,34 +196,66 @@
 }
 
 // episode adds some faults beside changes, and returns how long they take.
-func (p *planner) episode(at time.Duration, mix bool) time.Duration {
+func (p *planner) episode(at time.Duration) time.Duration {
 	switch n := p.random.IntN(10); {
-	case n < 4:
+	case n < 4 && p.plan.Proxied:
+		return p.cuts(at)
+	case n < 2:
 		return p.neighbours(at)
-	case n < 7:
+	case n < 4 && !p.shape.Mix && !p.plan.Proxied:
+		return p.replace(at)
+	case n < 6:
+		return p.laggards(at)
+	case n < 8:
 		return p.lateOrder(at)
-	case n < 8 && !mix:
-		vm := controlName(p.random.IntN(p.size.Controls))
-		p.storm(at, 5*time.Second)
-		p.add(Step{At: at + p.between(0, 2*time.Second), Action: Replace, VM: vm})
-		p.restartEntries(at+p.between(0, 4*time.Second), p.size.Entries/2)
-		return 9 * time.Second
-	case n < 9:
-		p.storm(at, 3*time.Second)
-		p.restart(controlName(p.random.IntN(p.size.Controls)), at+p.between(0, 2*time.Second), p.between(300*time.Millisecond, 2*time.Second))
-		p.restartEntries(at+p.between(0, 2*time.Second), p.size.Entries/2)
-		return 6 * time.Second
 	default:
-		p.storm(at, 3*time.Second)
-		for _, i := range p.pick(1+p.random.IntN(p.size.Controls), p.size.Controls) {
-			p.pause(controlName(i), at+p.between(0, 2*time.Second), p.between(200*time.Millisecond, 4*time.Second))
+		return p.pauses(at)
+	}
+}
+
+// replace replaces a control VM while versions come and entries restart.
+func (p *planner) replace(at time.Duration) time.Duration {
+	p.storm(at, 5*time.Second)
+	p.add(Step{At: at + p.between(0, 2*time.Second), Action: Replace, VM: controlName(p.random.IntN(p.shape.Controls))})
+	p.restartEntries(at+p.between(0, 4*time.Second), p.shape.Entries/2)
+	return 9 * time.Second
+}
+
+// laggards lets control VMs miss changes, and entries start when these are back.
+func (p *planner) laggards(at time.Duration) time.Duration {
+	p.storm(at, 4*time.Second)
+	back := at + p.between(3*time.Second, 4*time.Second)
+	for _, i := range p.pick(1+p.random.IntN(2), p.shape.Controls) {
+		vm, from := controlName(i), at+p.between(0, time.Second)
+		if p.plan.Proxied {
+			p.add(Step{At: from, Action: Silence, VM: vm})
+			p.add(Step{At: back, Action: Join, VM: vm})
+		} else {
+			p.pause(vm, from, back-from)
 		}
-		return 7 * time.Second
 	}
+	for _, i := range p.pick(p.shape.Entries/2, p.shape.Entries) {
+		p.restart(entryName(i), back-p.between(300*time.Millisecond, 1500*time.Millisecond), p.between(300*time.Millisecond, 1500*time.Millisecond))
+	}
+	return 9 * time.Second
+}
+
+// pauses stops or restarts control VMs for short times while entries restart: some get changes
+// from neighbours meanwhile.
+func (p *planner) pauses(at time.Duration) time.Duration {
+	p.storm(at, 4*time.Second)
+	for range 2 {
+		for _, i := range p.pick(1+p.random.IntN(p.shape.Controls), p.shape.Controls) {
+			p.pause(controlName(i), at+p.between(0, 3*time.Second), p.between(200*time.Millisecond, 2*time.Second))
+		}
+		p.restartEntries(at+p.between(0, 3*time.Second), p.shape.Entries/3)
+	}
+	p.restart(controlName(p.random.IntN(p.shape.Controls)), at+p.between(0, 3*time.Second), p.between(300*time.Millisecond, 2*time.Second))
+	return 9 * time.Second
 }
 
 func (p *planner) restartEntries(at time.Duration, n int) {
-	for _, i := range p.pick(n, p.size.Entries) {
+	for _, i := range p.pick(n, p.shape.Entries) {
 		p.restart(entryName(i), at, p.between(300*time.Millisecond, 1500*time.Millisecond))
 	}
 }
@@ -217,9 +263,9 @@
 // neighbours lets some entries miss changes, and then get them from entries that have restarted,
 // because control stands still.
 func (p *planner) neighbours(at time.Duration) time.Duration {
-	order := p.random.Perm(p.size.Entries)
-	behind := order[:1+p.random.IntN(p.size.Entries/3)]
-	killed := order[len(behind):][:p.size.Entries/2]
+	order := p.random.Perm(p.shape.Entries)
+	behind := order[:1+p.random.IntN(p.shape.Entries/3)]
+	killed := order[len(behind):][:p.shape.Entries/2]
 	missed := p.between(time.Second, 2*time.Second)
 	p.storm(at, missed)
 	for _, i := range behind {
@@ -228,19 +274,47 @@
 	for _, i := range killed {
 		p.restart(entryName(i), at+p.between(missed/2, missed), p.between(300*time.Millisecond, 500*time.Millisecond))
 	}
-	for i := range p.size.Controls {
+	for i := range p.shape.Controls {
 		p.pause(controlName(i), at+missed+p.between(400*time.Millisecond, 700*time.Millisecond), p.between(2*time.Second, 4*time.Second))
 	}
 	p.storm(at+missed+5*time.Second, time.Second)
 	return missed + 9*time.Second
 }
 
+// cuts cuts some entries off control, one after the other, while others restart and versions come
+// in quick succession: they get changes from neighbours.
+func (p *planner) cuts(at time.Duration) time.Duration {
+	order := p.random.Perm(p.shape.Entries)
+	cut := order[:2+p.random.IntN(2)]
+	killed := order[len(cut):][:p.shape.Entries/2]
+	how := []Action{Silence, Refuse}[p.random.IntN(2)]
+	p.storm(at, 7*time.Second)
+	for _, i := range cut {
+		from := at + p.between(0, 2*time.Second)
+		p.add(Step{At: from, Action: how, VM: entryName(i)})
+		p.add(Step{At: from + p.between(4*time.Second, 6*time.Second), Action: Join, VM: entryName(i)})
+	}
+	for range 2 {
+		from := at + p.between(500*time.Millisecond, 4*time.Second)
+		for _, i := range killed[:len(killed)/2+1] {
+			p.restart(entryName(i), from, p.between(300*time.Millisecond, 1500*time.Millisecond))
+		}
+		killed = killed[len(killed)/2:]
+	}
+	if p.random.IntN(2) == 0 {
+		vm, from := controlName(p.random.IntN(p.shape.Controls)), at+p.between(0, 3*time.Second)
+		p.add(Step{At: from, Action: how, VM: vm})
+		p.add(Step{At: from + p.between(time.Second, 3*time.Second), Action: Join, VM: vm})
+	}
+	return 13 * time.Second
+}
+
 // lateOrder evacuates a data centre, takes it back and evacuates it again, while control VMs
 // stand still. It is taken back at last.
 func (p *planner) lateOrder(at time.Duration) time.Duration {
 	centre := centres[p.random.IntN(len(centres))]
-	stopped := p.pick((p.size.Controls-1)/2, p.size.Controls)
-	awake := (stopped[0] + 1) % p.size.Controls
+	stopped := p.pick((p.shape.Controls-1)/2, p.shape.Controls)
+	awake := (stopped[0] + 1) % p.shape.Controls
 	for _, i := range stopped {
 		p.pause(controlName(i), at+1500*time.Millisecond, p.between(4*time.Second, 6*time.Second))
 	}
@@ -254,11 +328,11 @@
 
 // upgrades replaces all processes by the other program one after the other, and back again.
 func (p *planner) upgrades() {
-	all := make([]string, 0, p.size.Controls+p.size.Entries)
-	for i := range p.size.Controls {
+	all := make([]string, 0, p.shape.Controls+p.shape.Entries)
+	for i := range p.shape.Controls {
 		all = append(all, controlName(i))
 	}
-	for i := range p.size.Entries {
+	for i := range p.shape.Entries {
 		all = append(all, entryName(i))
 	}
 	p.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
--- a/soak/record.go
+++ b/soak/record.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -59,8 +60,13 @@
 	Runs     []Arrival
 	Orders   []Order
 	Faults   []Fault
+	// Stalls are the times at which this machine left no time to the soak itself.
+	Stalls []Stall
 }
 
+// Stall is a span in which the processes did not run because the machine was busy.
+type Stall struct{ From, To time.Time }
+
 // recorder collects a record.
 type recorder struct {
 	mu     sync.Mutex
@@ -112,8 +118,28 @@
 	r.record.Faults = append(r.record.Faults, Fault{VM: p.vm, Control: p.control, Action: a, At: time.Now()})
 }
 
+const (
+	stallPeriod = 50 * time.Millisecond
+	// maxDelay is the delay of a timer from which on a machine counts as slowed.
+	maxDelay = 300 * time.Millisecond
+)
+
+// watchStalls notes stalls until ctx is done.
+func (r *recorder) watchStalls(ctx context.Context) {
+	for last := time.Now(); ctx.Err() == nil; {
+		time.Sleep(stallPeriod)
+		now := time.Now()
+		if now.Sub(last) > stallPeriod+maxDelay {
+			r.mu.Lock()
+			r.record.Stalls = append(r.record.Stalls, Stall{From: last, To: now})
+			r.mu.Unlock()
+		}
+		last = now
+	}
+}
+
 // exit notes the end of a process.
-func (r *recorder) exit(vm string, _ int) {
+func (r *recorder) exit(vm string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.down[vm] {
--- a/soak/run.go
+++ b/soak/run.go
@@ -45,7 +45,7 @@
 	}
 	defer os.RemoveAll(dir)
 	s := &soak{options: o, plan: plan, record: newRecorder(plan.Configs), began: time.Now()}
-	if s.fleet, err = newFleet(dir, o.Binary, o.Old, o.Size, s.record); err != nil {
+	if s.fleet, err = newFleet(dir, o.Binary, o.Old, o.Shape, plan.Proxied, s.record); err != nil {
 		return Report{}, err
 	}
 	s.clients = newClients(s.fleet, s.record)
@@ -80,6 +80,7 @@
 			return err
 		}
 	}
+	s.logf("links through proxies: %t", s.plan.Proxied)
 	first := s.plan.Configs[0]
 	if !s.operator.order(ctx, Step{Action: Configure, Version: first.Version}, render(configTemplate, first), firstConfigLimit) {
 		return errors.New("the first configuration was not accepted")
@@ -98,6 +99,7 @@
 	if err := s.fleet.awaitReady(startLimit); err != nil {
 		return err
 	}
+	group.Go(func() { s.record.watchStalls(ctx) })
 	for _, p := range s.fleet.entries {
 		group.Go(func() { s.clients.ask(ctx, p, requestInterval) })
 	}
@@ -180,7 +182,7 @@
 	record, ends := s.record.done()
 	r := Report{
 		Seed: s.plan.Seed, Span: s.plan.Span, Program: s.options.Binary, Requests: len(record.Requests), Runs: len(record.Runs),
-		Orders: len(record.Orders), Faults: len(record.Faults), Broken: make(map[Rule]int), Violations: Judge(record),
+		Orders: len(record.Orders), Faults: len(record.Faults), Stalls: len(record.Stalls), Broken: make(map[Rule]int), Violations: Judge(record),
 	}
 	for _, q := range record.Requests {
 		if q.Status == 200 {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -42,6 +42,7 @@
 	binary := set.String("binary", "program to run", conf.Default("target/dottereldeal"))
 	old := set.String("old", "program of another version, for --mix")
 	mix := set.Bool("mix", "begin with the program of --old, replace it by the other one and go back")
+	direct := set.Bool("direct", "no proxies between the processes, for versions whose control cannot advertise their address")
 	controls := set.Int("controls", "control processes", 3, conf.Default("5"))
 	entries := set.Int("entries", "entry processes", 3, conf.Default("9"))
 	keep := set.String("keep", "folder that keeps logs and record of a run that broke a promise")
@@ -60,8 +61,8 @@
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
-	size := Size{Controls: *controls, Entries: *entries}
-	r, err := Run(ctx, NewPlan(uint64(*seed), *span, size, *mix), Binary(*binary), Old(*old), Processes(size), Keep(*keep), Progress(errs))
+	shape := Shape{Controls: *controls, Entries: *entries, Mix: *mix, Direct: *direct}
+	r, err := Run(ctx, NewPlan(uint64(*seed), *span, shape), Binary(*binary), Old(*old), Processes(shape), Keep(*keep), Progress(errs))
 	if err != nil {
 		fmt.Fprintln(errs, err)
 		return exitNotRun
@@ -94,6 +95,7 @@
 	Orders     int           `json:"orders"`
 	Acked      int           `json:"acked"`
 	Faults     int           `json:"faults"`
+	Stalls     int           `json:"stalls"`
 	Broken     map[Rule]int  `json:"broken"`
 	Violations []Violation   `json:"violations"`
 	Logs       string        `json:"logs,omitempty"`
@@ -103,8 +105,8 @@
 
 // Print writes the report as text.
 func (r Report) Print(w io.Writer) {
-	fmt.Fprintf(w, "seed %d, %s: %d requests, %d answered 200, %d runs; %d of %d orders acknowledged; %d faults\n",
-		r.Seed, r.Span, r.Requests, r.Served, r.Runs, r.Acked, r.Orders, r.Faults)
+	fmt.Fprintf(w, "seed %d, %s: %d requests, %d answered 200, %d runs; %d of %d orders acknowledged; %d faults, %d stalls\n",
+		r.Seed, r.Span, r.Requests, r.Served, r.Runs, r.Acked, r.Orders, r.Faults, r.Stalls)
 	for i, v := range r.Violations {
 		if i == maxPrinted {
 			fmt.Fprintf(w, "  and %d more\n", len(r.Violations)-i)
