--- a/soak/judge.go
+++ b/soak/judge.go
@@ -22,6 +22,8 @@
 	RuleAtMostOnce Rule = "at-most-once"
 	// RuleRefused: what was accepted once or is valid is not refused.
 	RuleRefused Rule = "refused"
+	// RuleMajority: a control VM that reaches no other one acknowledges nothing.
+	RuleMajority Rule = "majority"
 	// RuleStays: a process ends only when it is asked to.
 	RuleStays Rule = "stays"
 )
@@ -90,6 +92,7 @@
 	j.evacuated(requests)
 	j.atMostOnce(requests, runs)
 	j.refused()
+	j.majorityAcks()
 	slices.SortStableFunc(j.found, func(a, b Violation) int { return a.At.Compare(b.At) })
 	return j.found
 }
@@ -396,6 +399,33 @@
 	}
 }
 
+// cutDelay is the longest time from the note of a fault to its effect.
+const cutDelay = 100 * time.Millisecond
+
+// majorityAcks checks that no control VM acknowledged an order that was first sent after the VM
+// was cut off.
+func (j *judge) majorityAcks() {
+	for _, o := range j.record.Orders {
+		if o.Acked.IsZero() {
+			continue
+		}
+		var c condition
+		cutSince := time.Time{}
+		for _, f := range j.faults[o.By] {
+			if f.At.After(o.Acked) {
+				break
+			}
+			if c = c.after(f.Action); f.Action == Silence || f.Action == Refuse {
+				cutSince = f.At
+			}
+		}
+		if c.cut && o.Sent.Sub(cutSince) > cutDelay {
+			j.report(RuleMajority, o.Acked, "", "%s %s%s was acknowledged by %s at %s, which is cut off since %s",
+				o.Action, o.Centre, versionText(o.Version), o.By, j.since(o.Acked), j.since(cutSince))
+		}
+	}
+}
+
 func versionText(version int) string {
 	if version == 0 {
 		return ""
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -160,6 +160,15 @@
 	is.New(t).Equal(h.broken(), map[Rule]int{RuleRefused: 1})
 }
 
+func TestControlThatIsCutOffAcknowledgesNothing(t *testing.T) {
+	for cut, want := range map[float64]int{20.2: 0, 19.5: 1} {
+		h := newHistory()
+		h.fault(cut, "c1", Silence)
+		h.order(Order{Action: Evacuate, Centre: "west", Sent: at(20), Acked: at(20.5), By: "c1"})
+		is.New(t).Equal(h.broken()[RuleMajority], want)
+	}
+}
+
 func TestSeedDecidesThePlan(t *testing.T) {
 	is := is.New(t)
 	shape := Shape{Controls: 5, Entries: 9}
--- a/soak/run.go
+++ b/soak/run.go
@@ -15,12 +15,10 @@
 const (
 	startLimit = 30 * time.Second
 	// requestInterval is the time between two requests to an entry.
-	requestInterval   = 50 * time.Millisecond
-	serversPerCentre  = 2
-	firstConfigLimit  = 20 * time.Second
-	configOrderLimit  = 10 * time.Second
-	maxPendingOrders  = 64
-	lastRequestsLimit = 2 * clientTimeout
+	requestInterval  = 50 * time.Millisecond
+	serversPerCentre = 2
+	firstConfigLimit = 20 * time.Second
+	configOrderLimit = 10 * time.Second
 )
 
 // soak is a running soak.
@@ -109,7 +107,7 @@
 // follow carries out the steps at their times. Orders of a kind wait for each other.
 func (s *soak) follow(ctx context.Context, group *sync.WaitGroup) error {
 	begin := time.Now()
-	configs, evacuations := make(chan Step, maxPendingOrders), make(chan Step, maxPendingOrders)
+	configs, evacuations := make(chan Step, len(s.plan.Steps)), make(chan Step, len(s.plan.Steps))
 	defer close(configs)
 	defer close(evacuations)
 	group.Go(func() { s.giveOrders(ctx, configs) })
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -38,7 +38,7 @@
 	}
 	set := conf.New("soak run")
 	seed := set.Int("seed", "decides the schedule of changes and faults", 0, conf.Default("1"))
-	span := set.Duration("span", "length of the schedule", conf.Default("60s"))
+	span := set.Duration("span", "length of the schedule; its last series of faults may end later", conf.Default("60s"))
 	binary := set.String("binary", "program to run", conf.Default("target/dottereldeal"))
 	old := set.String("old", "program of another version, for --mix")
 	mix := set.Bool("mix", "begin with the program of --old, replace it by the other one and go back")
