Say in the fault soak which violations of a mix are at entries of the other version

In a mix, an entry of that takes a neighbour's delta keeps dropped routes, as it does in a fleet of its own (docs/incidents/removed-route.md); such lines must not hide one at an entry of this version.

--- a/soak/judge.go
+++ b/soak/judge.go
@@ -46,7 +46,9 @@
 	Rule  Rule      `json:"rule"`
 	At    time.Time `json:"at"`
 	Entry string    `json:"entry,omitempty"`
-	Text  string    `json:"text"`
+	// Old says whether the entry ran the other program of a mix.
+	Old  bool   `json:"old,omitempty"`
+	Text string `json:"text"`
 }
 
 // outcome is what became of a request: it ran in a pool, or there was no route for it.
@@ -98,7 +100,13 @@
 }
 
 func (j *judge) report(rule Rule, at time.Time, entry, format string, args ...any) {
-	j.found = append(j.found, Violation{Rule: rule, At: at, Entry: entry, Text: fmt.Sprintf(format, args...)})
+	old := false
+	for _, f := range j.faults[entry] {
+		if f.Action == Start && !f.At.After(at) {
+			old = f.Old
+		}
+	}
+	j.found = append(j.found, Violation{Rule: rule, At: at, Entry: entry, Old: old, Text: fmt.Sprintf(format, args...)})
 }
 
 func (j *judge) since(t time.Time) string {
--- a/soak/record.go
+++ b/soak/record.go
@@ -49,7 +49,9 @@
 	VM      string
 	Control bool
 	Action  Action
-	At      time.Time
+	// Old says whether a process that starts runs the other program of a mix.
+	Old bool
+	At  time.Time
 }
 
 // Record is what clients, backend servers and the operator saw, and the faults.
@@ -115,7 +117,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.down[p.vm] = a == Kill
-	r.record.Faults = append(r.record.Faults, Fault{VM: p.vm, Control: p.control, Action: a, At: time.Now()})
+	r.record.Faults = append(r.record.Faults, Fault{VM: p.vm, Control: p.control, Action: a, Old: p.old, At: time.Now()})
 }
 
 const (
--- a/soak/run.go
+++ b/soak/run.go
@@ -180,7 +180,7 @@
 	record, ends := s.record.done()
 	r := Report{
 		Seed: s.plan.Seed, Span: s.plan.Span, Program: s.options.Binary, Requests: len(record.Requests), Runs: len(record.Runs),
-		Orders: len(record.Orders), Faults: len(record.Faults), Stalls: len(record.Stalls), Broken: make(map[Rule]int), Violations: Judge(record),
+		Orders: len(record.Orders), Faults: len(record.Faults), Stalls: len(record.Stalls), Broken: make(map[Rule]int), BrokenOld: make(map[Rule]int), Violations: Judge(record),
 	}
 	for _, q := range record.Requests {
 		if q.Status == 200 {
@@ -197,6 +197,9 @@
 	}
 	for _, v := range r.Violations {
 		r.Broken[v.Rule]++
+		if v.Old {
+			r.BrokenOld[v.Rule]++
+		}
 	}
 	if s.options.Keep != "" && (failed || len(r.Violations) > 0) {
 		r.Logs = filepath.Join(s.options.Keep, fmt.Sprintf("seed-%d-%s", s.plan.Seed, time.Now().Format("150405")))
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -86,19 +86,21 @@
 
 // Report is the result of a run.
 type Report struct {
-	Seed       uint64        `json:"seed"`
-	Span       time.Duration `json:"span"`
-	Program    string        `json:"program"`
-	Requests   int           `json:"requests"`
-	Served     int           `json:"served"`
-	Runs       int           `json:"runs"`
-	Orders     int           `json:"orders"`
-	Acked      int           `json:"acked"`
-	Faults     int           `json:"faults"`
-	Stalls     int           `json:"stalls"`
-	Broken     map[Rule]int  `json:"broken"`
-	Violations []Violation   `json:"violations"`
-	Logs       string        `json:"logs,omitempty"`
+	Seed     uint64        `json:"seed"`
+	Span     time.Duration `json:"span"`
+	Program  string        `json:"program"`
+	Requests int           `json:"requests"`
+	Served   int           `json:"served"`
+	Runs     int           `json:"runs"`
+	Orders   int           `json:"orders"`
+	Acked    int           `json:"acked"`
+	Faults   int           `json:"faults"`
+	Stalls   int           `json:"stalls"`
+	Broken   map[Rule]int  `json:"broken"`
+	// BrokenOld is the part of Broken at entries of the other version.
+	BrokenOld  map[Rule]int `json:"broken-old,omitempty"`
+	Violations []Violation  `json:"violations"`
+	Logs       string       `json:"logs,omitempty"`
 }
 
 const maxPrinted = 12
@@ -112,13 +114,20 @@
 			fmt.Fprintf(w, "  and %d more\n", len(r.Violations)-i)
 			break
 		}
-		fmt.Fprintf(w, "  %s %s: %s\n", v.Rule, v.Entry, v.Text)
+		version := ""
+		if v.Old {
+			version = " of the other version"
+		}
+		fmt.Fprintf(w, "  %s %s%s: %s\n", v.Rule, v.Entry, version, v.Text)
 	}
 	if len(r.Violations) == 0 {
 		fmt.Fprintln(w, "held")
 		return
 	}
 	fmt.Fprintln(w, "broken:", r.Broken)
+	if len(r.BrokenOld) > 0 {
+		fmt.Fprintln(w, "of these at entries of the other version:", r.BrokenOld)
+	}
 	if r.Logs != "" {
 		fmt.Fprintln(w, "logs:", r.Logs)
 	}
