Count what a server got as a warm one towards its rate when it turns cold

Cause: each ramp counted its own permits only, and began with none. The holder now keeps the times of the requests that it sent to each server in the last second, and a new ramp counts them.

--- a/pool/holder.go
+++ b/pool/holder.go
@@ -200,9 +200,13 @@
 }
 
 // newRamp returns the ramp of a cold server. The previous holder may have used the rate of
-// the server until the last moment.
+// the server until the last moment, and this one may have sent it requests as to a warm server.
 func (h *holder) newRamp(t fleet.Target, settings state.Pool) *Ramp {
-	return NewRamp(t.Slots, max(1, settings.ColdSlots), time.Duration(settings.Ramp)).WithRate(settings.ColdRate).WithStart(h.since.Add(rateWindow))
+	r := NewRamp(t.Slots, max(1, settings.ColdSlots), time.Duration(settings.Ramp)).WithRate(settings.ColdRate).WithStart(h.since.Add(rateWindow))
+	if srv := h.scheduler.byName[t.Name]; srv != nil {
+		r = r.WithRecent(srv.recent)
+	}
+	return r
 }
 
 // probationRamp is the longest ramp of a readmitted backend server. The server is not
--- a/pool/ramp.go
+++ b/pool/ramp.go
@@ -49,6 +49,12 @@
 	return r
 }
 
+// WithRecent counts requests that were sent before the ramp towards its rate limit.
+func (r *Ramp) WithRecent(times []time.Time) *Ramp {
+	r.recent = slices.Clone(times)
+	return r
+}
+
 // rateWindow is the window over which the rate limit of a ramp is enforced.
 const rateWindow = time.Second
 
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -266,7 +266,7 @@
 		s.release(req.key(), earlier)
 	}
 	srv.throttle.take(now)
-	srv.lastAssigned = now
+	srv.recordAssigned(now)
 	srv.inUse++
 	s.assignments[req.key()] = a
 	s.evidence.started(req.key(), now)
--- a/pool/server.go
+++ b/pool/server.go
@@ -23,6 +23,8 @@
 	ejected  bool
 	// lastAssigned is the time at which the server last received a request.
 	lastAssigned time.Time
+	// recent holds the times at which the server was sent requests in the last rateWindow.
+	recent []time.Time
 	// silent is set while the server has not answered its latest requests at all.
 	silent bool
 	// shed is the share of recent requests that the server rejected, as of shedAt.
@@ -48,6 +50,16 @@
 	return srv.ramp == nil || srv.ramp.Available(now)
 }
 
+// recordAssigned records that the server is sent a request.
+func (srv *server) recordAssigned(now time.Time) {
+	srv.lastAssigned = now
+	first := 0
+	for first < len(srv.recent) && now.Sub(srv.recent[first]) >= rateWindow {
+		first++
+	}
+	srv.recent = append(srv.recent[first:], now)
+}
+
 // freeSlots returns the number of requests that the server can be sent at once, if it works.
 func (srv *server) freeSlots(now time.Time) int {
 	return min(max(0, srv.slots-srv.inUse), srv.throttle.available(now))
