Name replicas by identity when they are added, replaced or removed

An operator's call names VMs: `replica remove c2`. Held up at a leader that is slow or on a link, it is read after its caller has left, and removes (or replaces) whatever replica is on that VM by then, for instance the one with a new disk that was added meanwhile. Found by reading; no run showed it outside the new test.

A call without identities is now answered with a redirect that names them, as orders without a version are; the call that follows changes exactly these replicas, or none (422). The leader alone judges: before, a follower that had not heard of a joining replica yet answered 422, which ends the command; seen in the first run of the script ("no replica on that VM is waiting to join").

TestLateRemovalLeavesTheNextReplicaOfItsVM fails with the comparison of identities taken out.

--- a/ctrl/replica.go
+++ b/ctrl/replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -53,11 +54,22 @@
 	return response
 }
 
+// Query parameters that name the replica that is added or removed, and the one that it replaces, by
+// identity.
+const (
+	replicaParameter  = "id"
+	replacedParameter = "replaced-id"
+)
+
 // putReplica adds the replica that is joining from a VM. It replaces the member
 // named by the query parameter "replaces", or else the one on the same VM under
 // another identity. It responds only after the new replica has caught up, synced
 // its data and been promoted to voter.
 func (c *Control) putReplica(w http.ResponseWriter, r *http.Request) {
+	if !c.leads() {
+		c.replyUnavailable(w, ErrNotLeader) // others may not have heard of the replica yet
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), repairTimeout)
 	defer cancel()
 	vm := r.PathValue("vm")
@@ -65,7 +77,17 @@
 	if replaces == "" {
 		replaces = vm
 	}
-	if err := c.repair(ctx, vm, replaces); err != nil {
+	added, err := c.findJoining(ctx, vm)
+	if err != nil {
+		c.replyRepairError(w, err)
+		return
+	}
+	old, _ := c.memberToReplace(replaces, added.ID)
+	names := url.Values{"replaces": {replaces}, replicaParameter: {formatID(added.ID)}, replacedParameter: {formatID(old.ID)}}
+	if !c.checkNamed(w, r, names) {
+		return
+	}
+	if err := c.repair(ctx, added, old.ID); err != nil {
 		c.replyRepairError(w, err)
 		return
 	}
@@ -73,6 +95,10 @@
 }
 
 func (c *Control) deleteReplica(w http.ResponseWriter, r *http.Request) {
+	if !c.leads() {
+		c.replyUnavailable(w, ErrNotLeader) // others may not have heard of the replica yet
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), repairTimeout)
 	defer cancel()
 	member, ok := c.status.Load().Group.ByVM(r.PathValue("vm"))
@@ -80,6 +106,9 @@
 		c.replyRepairError(w, quorum.ErrUnknownReplica)
 		return
 	}
+	if !c.checkNamed(w, r, url.Values{replicaParameter: {formatID(member.ID)}}) {
+		return
+	}
 	if err := c.changeMembership(ctx, func() (uint64, error) { return c.node.Remove(member.ID) }); err != nil {
 		c.replyRepairError(w, err)
 		return
@@ -88,6 +117,24 @@
 	admin.WriteJSON(w, http.StatusOK, c.replicas(r.Context(), true))
 }
 
+// checkNamed reports whether a call names the replicas that it would change now, and answers it
+// otherwise. A call that names VMs only is answered with a redirect that names their replicas: if
+// it is read late, other replicas may be there by then, and its caller does not follow.
+func (c *Control) checkNamed(w http.ResponseWriter, r *http.Request, names url.Values) bool {
+	if r.URL.Query().Get(replicaParameter) == "" {
+		w.Header().Set("Location", r.URL.EscapedPath()+"?"+names.Encode())
+		w.WriteHeader(http.StatusTemporaryRedirect)
+		return false
+	}
+	for name := range names {
+		if r.URL.Query().Get(name) != names.Get(name) {
+			c.replyRepairError(w, quorum.ErrUnknownReplica)
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Control) replyRepairError(w http.ResponseWriter, err error) {
 	if errors.Is(err, ErrNotJoining) || errors.Is(err, quorum.ErrUnknownReplica) || errors.Is(err, quorum.ErrLastVoter) {
 		admin.WriteJSON(w, http.StatusUnprocessableEntity, errorResponse{Error: err.Error()})
@@ -97,20 +144,16 @@
 }
 
 // repair adds a learner, waits until it has caught up, removes the replica that it
-// replaces and promotes the learner to voter. Every step may be repeated.
-func (c *Control) repair(ctx context.Context, vm, replaces string) error {
-	added, err := c.findJoining(ctx, vm)
-	if err != nil {
-		return err
-	}
-	err = c.changeMembership(ctx, func() (uint64, error) { return c.node.AddLearner(added) })
+// replaces, if any, and promotes the learner to voter. Every step may be repeated.
+func (c *Control) repair(ctx context.Context, added quorum.Replica, replaced quorum.ID) error {
+	err := c.changeMembership(ctx, func() (uint64, error) { return c.node.AddLearner(added) })
 	if err != nil && !errors.Is(err, quorum.ErrReplicaExists) {
 		return errors.Wrap(err, "add learner")
 	}
 	if err := c.awaitCaughtUp(ctx, added.ID); err != nil {
 		return errors.Wrap(err, "catch up")
 	}
-	if old, ok := c.memberToReplace(replaces, added.ID); ok {
+	if old, ok := c.status.Load().Group.Get(replaced); ok {
 		if err := c.changeMembership(ctx, func() (uint64, error) { return c.node.Remove(old.ID) }); err != nil {
 			return errors.Wrap(err, "remove the old replica")
 		}
@@ -122,7 +165,7 @@
 	if err := c.awaitCaughtUp(ctx, added.ID); err != nil {
 		return errors.Wrap(err, "catch up after promotion")
 	}
-	c.options.EventLog.Record(event.ReplicaPromoted, vm, formatID(added.ID))
+	c.options.EventLog.Record(event.ReplicaPromoted, added.VM, formatID(added.ID))
 	return nil
 }
 
--- a/prog/commands_test.go
+++ b/prog/commands_test.go
@@ -27,6 +27,7 @@
 		"production": productionCommand,
 		"controls":   controlsCommand,
 		"replace":    replaceCommand,
+		"blank":      blankCommand,
 		"signal":     signalCommand,
 		"abandon":    abandonCommand,
 		"late":       lateCommand,
--- a/prog/controls_test.go
+++ b/prog/controls_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -50,7 +52,7 @@
 // controlsCommand ends the group that runs, if any, starts a new one of three control processes
 // and waits for its leader: controls PROGRAM. It
 // sets LEADER, FOLLOWER and OTHER to their VMs, and AT_LEADER, AT_FOLLOWER and AT_OTHER to the
-// addresses for the platform's calls.
+// addresses for the platform's calls, and CONTROLS to those for the operators' calls.
 func controlsCommand(ts *testscript.TestScript, _ bool, args []string) {
 	g := groupOf(ts)
 	g.endAll()
@@ -76,6 +78,7 @@
 			roles["OTHER"] = vm
 		}
 	}
+	ts.Setenv("CONTROLS", strings.Join(slices.Collect(maps.Values(g.admin)), ","))
 	for role, vm := range roles {
 		ts.Setenv(role, vm)
 		ts.Setenv("AT_"+role, g.platform[vm])
@@ -92,6 +95,23 @@
 	}
 }
 
+// blankCommand ends a control process, starts one on a blank disk and waits until the leader has
+// heard that it asks to join: blank PROGRAM VM.
+func blankCommand(ts *testscript.TestScript, _ bool, args []string) {
+	g := groupOf(ts)
+	g.end(args[1], syscall.SIGINT)
+	ts.Check(os.RemoveAll(filepath.Join(g.folder, args[1])))
+	ts.Check(g.start(ts, args[1], args[0]))
+	for end := time.Now().Add(scriptWait); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		var got struct{ Waiting []struct{ VM string } }
+		err := readJSON("http://"+g.admin[ts.Getenv("LEADER")]+"/v1/replicas", &got)
+		if err == nil && len(got.Waiting) == 1 && got.Waiting[0].VM == args[1] {
+			return
+		}
+	}
+	g.fail(ts, "%s does not ask to join within %s", args[1], scriptWait)
+}
+
 // signalCommand sends a signal to a control process: signal STOP|CONT VM.
 func signalCommand(ts *testscript.TestScript, _ bool, args []string) {
 	s := map[string]os.Signal{"STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}[args[0]]
