Wait in scripts until a stopped process stands still

Seen: TestScripts/late-order-upgrade, 1 of 2 runs at a load average above 30: "answered with 200" right after `signal STOP`. The signal is on its way when kill returns; the process read the order before it stopped.

--- a/prog/controls_test.go
+++ b/prog/controls_test.go
@@ -112,10 +112,21 @@
 	g.fail(ts, "%s does not ask to join within %s", args[1], scriptWait)
 }
 
-// signalCommand sends a signal to a control process: signal STOP|CONT VM.
+// signalCommand sends a signal to a control process: signal STOP|CONT VM. After STOP all threads of
+// the process stand still.
 func signalCommand(ts *testscript.TestScript, _ bool, args []string) {
-	s := map[string]os.Signal{"STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}[args[0]]
-	ts.Check(groupOf(ts).running[args[1]].Process.Signal(s))
+	s := map[string]syscall.Signal{"STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}[args[0]]
+	process := groupOf(ts).running[args[1]].Process
+	ts.Check(process.Signal(s))
+	if s != syscall.SIGSTOP {
+		return
+	}
+	var status syscall.WaitStatus
+	_, err := syscall.Wait4(process.Pid, &status, syscall.WUNTRACED, nil)
+	ts.Check(err)
+	if !status.Stopped() {
+		groupOf(ts).fail(ts, "%s did not stop: %v", args[1], status)
+	}
 }
 
 // abandonCommand gives an order and gives up after a second, as the platform's callers do:
