Update an unverified state while control is busy

A change with a digest verifies such a state or shows that it differs, so it is requested as before. A leader's beacon with the digest of the state verifies it too, and needs no full state.

--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -80,9 +80,7 @@
 	t.fresh.ObserveLeader(item.Version.Boot, item.Version.Count, b.GetIndex(), now)
 	t.leaderIndex, t.leaderDigest = b.GetIndex(), b.GetDigest()
 	t.confirm(t.entry.State(), now)
-	if t.diverges(t.entry.State()) {
-		go t.entry.watcher.repair()
-	}
+	go t.entry.watcher.compareWithLeader()
 }
 
 // diverges reports whether a state differs from the leader's at the same index. It must be called
@@ -91,6 +89,13 @@
 	return t.leaderDigest != 0 && t.leaderIndex == s.Index() && t.leaderDigest != s.Digest()
 }
 
+// equalsLeader reports whether a state is that of the leader at its last beacon.
+func (t *freshnessTracker) equalsLeader(s state.State) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.leaderDigest != 0 && t.leaderIndex == s.Index() && t.leaderDigest == s.Digest()
+}
+
 // checkDivergence returns an error if a state differs from the leader's at the same index.
 func (t *freshnessTracker) checkDivergence(s state.State) error {
 	t.mu.Lock()
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -133,6 +133,8 @@
 	}
 	if base != index {
 		w.requestRepair(now)
+	}
+	if w.isDiverged() {
 		return
 	}
 	if secondary != "" {
@@ -152,6 +154,14 @@
 	w.request(neighbours[rand.IntN(len(neighbours))], 0, false)
 }
 
+// isDiverged reports whether this VM's state is known to differ from that of control, so that
+// changes to it are of no use. A change to an unverified state verifies it.
+func (w *configWatcher) isDiverged() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.diverged
+}
+
 // controlSilent reports whether the control VM in use does not respond.
 func (w *configWatcher) controlSilent(now time.Time) bool {
 	w.mu.Lock()
@@ -159,12 +169,17 @@
 	return now.Sub(w.lastResponse) > controlTimeout
 }
 
-// repair replaces the state of this VM if it differs from that of the control leader. Missing
-// changes would otherwise stay unnoticed until the next change arrives from a control VM.
-func (w *configWatcher) repair() {
+// compareWithLeader replaces the state of this VM if it differs from that of the control leader.
+// Missing changes would otherwise stay unnoticed until the next change arrives from a control VM.
+func (w *configWatcher) compareWithLeader() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	err := w.entry.freshness.checkDivergence(w.entry.State())
+	current := w.entry.State()
+	if w.entry.freshness.equalsLeader(current) {
+		w.diverged, w.unverified = false, false
+		return
+	}
+	err := w.entry.freshness.checkDivergence(current)
 	if err == nil || len(w.controls) == 0 {
 		return
 	}
@@ -374,9 +389,7 @@
 	w.entry.freshness.confirmState(next, w.entry.options.Clock.Now())
 	w.entry.proxy.ApplyConfig(config)
 	w.entry.fleet.SetStateIndex(next.Index())
-	if w.entry.freshness.checkDivergence(next) != nil {
-		go w.repair()
-	}
+	go w.compareWithLeader()
 }
 
 // describeDelta describes the delta whose last part is d.
--- a/entry/watch_test.go
+++ b/entry/watch_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/dottereldeal/dottereldeal/clock"
 	"github.com/dottereldeal/dottereldeal/conf"
+	"github.com/dottereldeal/dottereldeal/link"
 	"github.com/dottereldeal/dottereldeal/state"
 	"github.com/dottereldeal/dottereldeal/wire"
 )
@@ -234,3 +235,66 @@
 	send("e2", full(state.Load(3, 0, wrong.Records())))
 	is.Equal(e.State().Digest(), control.Digest()) // it would go back
 }
+
+// Guards against an entry that gets no changes after the first state of an entry of a version
+// without digests, while control is busy with the full states of others.
+func TestUnverifiedStateIsUpdatedWithoutTheFullState(t *testing.T) {
+	is := is.New(t)
+	asked := make(chan *wire.Watch, 16)
+	addrs := make(conf.Peers)
+	for _, vm := range []string{"c1", "c2"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		control := link.New(l, link.VM(vm), link.Receive(func(_ string, m *wire.Envelope) {
+			if watch := m.GetWatch(); watch != nil {
+				asked <- watch
+			}
+		}))
+		t.Cleanup(control.Stop)
+		addrs[vm] = netip.MustParseAddrPort(l.Addr().String())
+	}
+	links, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	e := New(Listeners{Links: links}, VM("e1"), DataCentre("d1"), Control(addrs))
+	t.Cleanup(e.link.Stop)
+	control, _ := state.State{}.WithChange(state.Change{Index: 2, Set: []state.Object{state.Pool{Name: "p"}}})
+	full, err := state.DeltaParts(control, 0)
+	is.NoErr(err)
+	full[0].Digest = 0
+	e.watcher.receive("e2", full[0])
+	is.Equal(e.watcher.base(), uint64(0))
+
+	e.watcher.tick(e.options.Clock.Now())
+	indexes := map[uint64]bool{}
+	for range 2 {
+		select {
+		case watch := <-asked:
+			indexes[watch.GetIndex()] = true
+		case <-time.After(5 * time.Second):
+			t.Fatalf("asked for changes after %v only", indexes)
+		}
+	}
+	is.Equal(indexes, map[uint64]bool{0: true, 2: true})
+
+	control, _ = control.WithChange(state.Change{Index: 3, Set: []state.Object{state.Pool{Name: "q"}}})
+	increment, err := state.DeltaParts(control, 2)
+	is.NoErr(err)
+	e.watcher.receive("c2", increment[0])
+	is.Equal(e.State().Digest(), control.Digest())
+	is.Equal(e.watcher.base(), uint64(3))
+}
+
+// Guards against requests for a full state that the entry holds already.
+func TestStateThatEqualsTheLeadersIsVerified(t *testing.T) {
+	is := is.New(t)
+	e, send := newWatchedEntry(t)
+	control, _ := state.State{}.WithChange(state.Change{Index: 2, Set: []state.Object{state.Pool{Name: "p"}}})
+	full, err := state.DeltaParts(control, 0)
+	is.NoErr(err)
+	full[0].Digest = 0
+	send("e2", full)
+	is.Equal(e.watcher.base(), uint64(0))
+	beacon := &wire.Beacon{Term: 1, Seq: 1, Index: control.Index(), Digest: control.Digest()}
+	send("c1", []*wire.Delta{{From: 2, To: 2, Beacon: beacon}})
+	waitFor(t, func() bool { return e.watcher.base() == 2 })
+}
