Show that a lagging replica acknowledges an announcement without effect

Register compares an announcement with the state that the replica has applied. One that lags behind finds no difference and acknowledges it, although the group holds another phase: a server that has become cold again is taken for warm.

TestAnnouncementAtALaggingReplicaIsNotAcknowledgedWithoutEffect fails: go test ./ctrl -run AnnouncementAtALagging -count=3: 3 of 3.

--- a/ctrl/group_test.go
+++ b/ctrl/group_test.go
@@ -442,3 +442,30 @@
 	g.propose(leader, newPlan(8, 1))
 	is.Equal(g.read(lagging), uint64(8))
 }
+
+// Guards against a server that has become cold again and is taken for warm, because a replica
+// that lagged behind acknowledged its announcement without effect.
+func TestAnnouncementAtALaggingReplicaIsNotAcknowledgedWithoutEffect(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	g := newTestGroup(t)
+	g.start(true, g.all()...)
+	g.await("complete group", 4*time.Second, func() bool { return g.complete(groupSize) })
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	leader := g.leader()
+	lagging := (leader + 1) % groupSize
+	announce := func(i int, phase state.TargetPhase, count uint64) {
+		s := state.Target{Name: "s1", Pool: "p", DataCentre: "a", Addr: "10.0.0.1:80", Slots: 4, Phase: phase, Boot: 7, Count: count}
+		is.NoErr(g.nodes[i].Register(ctx, s))
+	}
+	announce(lagging, state.TargetCold, 1)
+	const pause = 400 * time.Millisecond // shorter than an election timeout
+	go g.nodes[lagging].do(context.Background(), func() { time.Sleep(pause) })
+	time.Sleep(pause / 8)
+	announce(leader, state.TargetWarm, 2)
+	announce(lagging, state.TargetCold, 3)
+	now, _, err := g.nodes[leader].Registered(ctx, "s1")
+	is.NoErr(err)
+	is.Equal(now.Phase, state.TargetCold)
+}
