Let a large full state arrive while the state changes

A full state of more than four parts is sent in several rounds. After 250 ms a change replaced the cached one, and its next part began a new one; a push of a change did so as well. With a change in every 100 ms and a round trip of 60 ms or more an entry never received a state of 25 parts. An entry whose state differs from control's takes nothing else, and stayed with the old configuration.

The four last full states are kept for those that have begun to receive them, for 5 s. An entry that receives a large delta is pushed nothing meanwhile, and its slot is free once it has acknowledged any later index, no longer the newest only.

--- a/ctrl/watch.go
+++ b/ctrl/watch.go
@@ -69,6 +69,7 @@
 		w = &watcher{}
 		c.watchers[from] = w
 	}
+	isReceived := m.GetIndex() > w.index || m.GetIndex() >= c.Ledger().State().Index()
 	w.index, w.sentIndex = m.GetIndex(), m.GetIndex()
 	w.boot = m.GetBoot()
 	w.lastHeard = c.options.Clock.Now()
@@ -78,8 +79,8 @@
 	w.dataCentre = m.GetDataCentre()
 	w.addr = m.GetAddr()
 	w.to, w.part, w.brief, w.unpacks = m.GetTo(), m.GetPart(), m.GetBrief(), m.GetUnpacks()
-	if w.index >= c.Ledger().State().Index() {
-		w.largeDeltaAt = time.Time{} // all parts have been received
+	if isReceived {
+		w.largeDeltaAt = time.Time{}
 	}
 	if ok && c.pushScheduled && w.index >= c.pushedIndex && !w.brief && w.part == 0 {
 		return // the scheduled push contains all that this entry lacks
@@ -142,13 +143,14 @@
 	}
 }
 
-// pushDeltas sends new state to the watchers that use this control VM.
+// pushDeltas sends new state to the watchers that use this control VM. One that is receiving a
+// large delta requests the next part itself; the first part of another one would end that.
 func (c *Control) pushDeltas() {
 	now := c.options.Clock.Now()
 	index := c.Ledger().State().Index()
 	c.lastPush, c.pushedIndex = now, index
 	for vm, w := range c.watchers {
-		if w.sentIndex < index && !w.brief && now.Sub(w.lastHeard) < pushTimeout {
+		if w.sentIndex < index && !w.brief && now.Sub(w.lastHeard) < pushTimeout && now.Sub(w.largeDeltaAt) >= largeDeltaTimeout {
 			c.sendDelta(vm, w)
 		}
 	}
--- a/ctrl/watch_test.go
+++ b/ctrl/watch_test.go
@@ -163,3 +163,72 @@
 	c.renewBeacon(quorum.Entry{Term: node.Status().Term - 1}, c.options.Clock.Now().Add(beaconPeriod))
 	is.Equal(c.beacon, first) // an entry of an earlier leader proves nothing
 }
+
+// recordingTransport keeps the deltas that are sent.
+type recordingTransport struct {
+	link.Transport
+	deltas *[]*wire.Delta
+}
+
+func (t recordingTransport) Send(_ string, m *wire.Envelope) bool {
+	*t.deltas = append(*t.deltas, m.GetDelta())
+	return true
+}
+
+// Guards against an entry that never receives a large full state, because each push of a change
+// begins it anew.
+func TestLargeFullStateArrivesWhileChangesArePushed(t *testing.T) {
+	for _, oneWay := range []time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond} {
+		t.Run(oneWay.String(), func(t *testing.T) { testLargeFullState(t, oneWay) })
+	}
+}
+
+func testLargeFullState(t *testing.T, oneWay time.Duration) {
+	t.Helper()
+	is := is.New(t)
+	const changePeriod, watchPeriod = 100 * time.Millisecond, 500 * time.Millisecond
+	var set []state.Object
+	for i := range 30_000 {
+		set = append(set, state.Workspace{Name: fmt.Sprint("workspace-", i), Rate: 10, Burst: 10})
+	}
+	plan := ticket.NewPlan(7, []byte("large"), set...)
+	digest, err := plan.Digest()
+	is.NoErr(err)
+	l, outcome := ledger.New(ledger.DefaultDedupWindow).Apply(1, ledger.Proposal{Ticket: plan, Digest: digest})
+	is.Equal(outcome.Verdict, ledger.Accepted)
+	manual := clock.NewManual(time.Unix(1000, 0))
+	var sent []*wire.Delta
+	c := &Control{options: newOptions(VM("c1"), Clock(manual)), watchers: make(map[string]*watcher), transport: recordingTransport{deltas: &sent}}
+	c.ledger.Store(&l)
+	c.status.Store(&quorum.Status{})
+	var assembler state.Assembler
+	var received state.State
+	for elapsed := time.Duration(0); elapsed < 5*time.Second; elapsed += 2 * oneWay {
+		due := elapsed%watchPeriod < 2*oneWay
+		for _, part := range sent { // arrives a link's delay after it was sent
+			next, _, err := assembler.Add(received, part)
+			is.NoErr(err)
+			received = next
+			due = due || assembler.RequestDue(part)
+		}
+		sent = nil
+		if received.Index() > 0 && received.Index() == l.State().Index() {
+			return
+		}
+		manual.Advance(oneWay)
+		for range max(1, 2*oneWay/changePeriod) {
+			change := ticket.Ticket{Number: ledger.SystemNumber, Set: []state.Object{state.Target{Name: fmt.Sprint("s", l.State().Index()), Phase: state.TargetWarm, Count: 1}}}
+			l, outcome = l.Apply(l.State().Index()+1, ledger.Proposal{Ticket: change})
+			is.Equal(outcome.Verdict, ledger.Accepted)
+			c.ledger.Store(&l)
+			c.schedulePush(manual.Now())
+		}
+		c.tickWatchers(manual.Now())
+		if due {
+			to, part, _ := assembler.NextPart()
+			c.handleWatch("e1", &wire.Watch{Index: received.Index(), To: to, Part: part, DataCentre: "d"})
+		}
+		manual.Advance(oneWay)
+	}
+	t.Fatalf("state at index %d after 5 s, control's is %d", received.Index(), l.State().Index())
+}
--- a/state/delta.go
+++ b/state/delta.go
@@ -69,13 +69,23 @@
 // receives the rest as the next delta, and must not act on an old state until then.
 const maxFullAge = 250 * time.Millisecond
 
+// maxFullTransfer is how long a follower may take for a full state that it has begun to receive,
+// and maxFullsUnderWay the number of full states that are kept for that. Those that are not
+// kept start again with the newest one, and would never end while the state goes on changing.
+const (
+	maxFullTransfer  = 5 * time.Second
+	maxFullsUnderWay = 4
+)
+
 // DeltaCache builds deltas for followers and caches the last one, because many
-// followers are usually at the same index, and the last full state. It is safe for
+// followers are usually at the same index, and the last full states. It is safe for
 // concurrent use.
 type DeltaCache struct {
 	mu   sync.Mutex
 	last cachedDelta
 	full cachedDelta
+	// replaced are earlier full states that followers may have received a part of, newest first.
+	replaced []cachedDelta
 }
 
 // cachedDelta holds the parts of a delta, and the same parts compressed.
@@ -117,14 +127,9 @@
 func (c *DeltaCache) Parts(current State, from, to uint64, part uint32, unpacks bool, now time.Time) (parts []*wire.Delta, large bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	cached := &c.last
-	if from == 0 {
-		cached = &c.full
-	}
-	if !cached.valid(current, from, now) {
-		if *cached, err = newCachedDelta(current, from, now); err != nil {
-			return nil, false, err
-		}
+	cached, err := c.delta(current, from, to, part, now)
+	if err != nil {
+		return nil, false, err
 	}
 	parts = cached.parts
 	if unpacks {
@@ -137,6 +142,32 @@
 	return parts[start:min(start+partsPerRequest, len(parts))], len(parts) > partsPerRequest, nil
 }
 
+// delta returns the delta to send to a follower. It must be called with the lock.
+func (c *DeltaCache) delta(current State, from, to uint64, part uint32, now time.Time) (d cachedDelta, err error) {
+	if from != 0 {
+		if !c.last.valid(current, from, now) {
+			c.last, err = newCachedDelta(current, from, now)
+		}
+		return c.last, err
+	}
+	for _, d := range append([]cachedDelta{c.full}, c.replaced...) {
+		if part > 0 && to > 0 && d.to == to && to <= current.Index() && now.Sub(d.builtAt) < maxFullTransfer {
+			return d, nil
+		}
+	}
+	if c.full.valid(current, from, now) {
+		return c.full, nil
+	}
+	if d, err = newCachedDelta(current, from, now); err != nil {
+		return d, err
+	}
+	if len(c.full.parts) > partsPerRequest {
+		c.replaced = append([]cachedDelta{c.full}, c.replaced[:min(len(c.replaced), maxFullsUnderWay-1)]...)
+	}
+	c.full = d
+	return d, nil
+}
+
 // noPart marks that no delta is being received.
 const noPart = math.MaxUint32
 
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"math/rand/v2"
 	"runtime"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
@@ -356,3 +358,41 @@
 		}
 	})
 }
+
+// Guards against an entry that never receives a large full state, because each change of the
+// state begins it anew.
+func TestLargeFullStateArrivesWhileTheStateChanges(t *testing.T) {
+	is := is.New(t)
+	const roundTrip, changePeriod, partSize = 100 * time.Millisecond, 100 * time.Millisecond, 128 << 10
+	var set []state.Object
+	for i := range 20 {
+		set = append(set, state.Pool{Name: fmt.Sprint(i, strings.Repeat("x", partSize))})
+	}
+	s, _ := state.State{}.WithChange(state.Change{Index: 1, Set: set})
+	start := time.Unix(1000, 0)
+	var cache state.DeltaCache
+	followers := make([]state.Assembler, 3)
+	arrived := make([]state.State, len(followers))
+	for now := start; now.Before(start.Add(5 * time.Second)); now = now.Add(roundTrip) {
+		s, _ = s.WithChange(state.Change{Index: s.Index() + uint64(roundTrip/changePeriod), Set: []state.Object{state.Pool{Name: "p"}}})
+		for i := range followers {
+			if arrived[i].Index() > 0 || now.Before(start.Add(time.Duration(i)*3*roundTrip)) {
+				continue
+			}
+			to, part, _ := followers[i].NextPart()
+			parts, large, err := cache.Parts(s, 0, to, part, true, now)
+			is.NoErr(err)
+			is.True(large)
+			for _, p := range parts {
+				next, changed, err := followers[i].Add(state.State{}, p)
+				is.NoErr(err)
+				if changed {
+					arrived[i] = next
+				}
+			}
+		}
+	}
+	for _, last := range arrived {
+		is.Equal(last.Len(), s.Len())
+	}
+}
