Keep the rate of a cold server when it is ejected, readmitted or on probation

A cold server that was ejected got no limit until the next evaluation and a new rate then; one that was readmitted after its answers had said that it is cold, or said so while it was on probation, had no limit of its rate at all (FAILBACK).

Cause: the ramp of a cold server and the one of probation stood in the same place. An ejection removed either, probation replaced either, and a server with either was not given that of a cold one.

Ramps of probation are marked. An ejection begins the ramp of a cold server anew, but keeps its permits and the requests of the last second; only the ramp of a cold server replaces another.

Evidence: TestEjectionLeavesAColdServerItsRate and TestProbationDoesNotReplaceTheRateOfAColdServer fail before (no ramp after the ejection; 40 permits at once instead of 9) and pass after.

--- a/pool/cold_test.go
+++ b/pool/cold_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/dottereldeal/dottereldeal/fleet"
 	"github.com/dottereldeal/dottereldeal/health"
 	"github.com/dottereldeal/dottereldeal/state"
@@ -155,3 +157,67 @@
 		}
 	}
 }
+
+var coldSettings = state.Pool{Name: "p", ColdSlots: 1 << 20, ColdRate: 9, Ramp: state.Duration(3 * time.Second)}
+
+// grants returns how many requests the ramp of a server allows at once.
+func (h *holder) grants(name string, now time.Time) int {
+	n := 0
+	for n < 100 && h.ramps[name] != nil && h.ramps[name].Grant(now) {
+		n++
+	}
+	return n
+}
+
+// Guards against a server that gets the rate of a cold one once more when it is ejected (FAILBACK).
+func TestEjectionLeavesAColdServerItsRate(t *testing.T) {
+	is := is.New(t)
+	h := newHolder(startTime)
+	var targets []fleet.Target
+	for _, name := range []string{"a", "b", "c", "d"} {
+		targets = append(targets, fleet.Target{Name: name, Slots: 40, Phase: fleet.Warm, Boot: 1})
+	}
+	targets[0].Phase = fleet.Cold
+	h.setTargets(targets, coldSettings, 0)
+	now := startTime.Add(2 * rateWindow)
+	is.Equal(h.grants("a", now), 9)
+	var ejected []health.Ejection
+	for end := now.Add(rateWindow); now.Before(end); now = now.Add(100 * time.Millisecond) {
+		for _, target := range targets {
+			report := health.Report{Target: target.Name}
+			for range 10 {
+				r := health.Result{Kind: health.OK, Latency: 50 * time.Millisecond}
+				if target.Name == "a" {
+					r.Kind = health.Failed
+				}
+				report.Stats.Add(r)
+			}
+			h.report("e", []health.Report{report}, now)
+		}
+		_, decision := h.evaluate(targets, coldSettings, now)
+		ejected = append(ejected, decision.Ejected...)
+		is.True(h.ramps["a"] != nil) // it is still cold
+		is.Equal(h.grants("a", now), 0)
+	}
+	is.Equal(len(ejected), 1)
+	is.Equal(h.grants("a", now), 9)
+}
+
+// Guards against a server without a limit that was readmitted just before or after its answers say
+// that it is cold (FAILBACK).
+func TestProbationDoesNotReplaceTheRateOfAColdServer(t *testing.T) {
+	is := is.New(t)
+	targets := []fleet.Target{{Name: "a", Slots: 40, Phase: fleet.Warm, Boot: 1}}
+	now := startTime.Add(2 * rateWindow)
+	for _, steps := range [][]func(*holder){
+		{func(h *holder) { h.startProbation("a", targets, coldSettings) }, func(h *holder) { h.markCold(targets[0], coldSettings) }},
+		{func(h *holder) { h.markCold(targets[0], coldSettings) }, func(h *holder) { h.startProbation("a", targets, coldSettings) }},
+	} {
+		h := newHolder(startTime)
+		h.setTargets(targets, coldSettings, 0)
+		for _, step := range steps {
+			step(h)
+		}
+		is.Equal(h.grants("a", now), 9)
+	}
+}
--- a/pool/holder.go
+++ b/pool/holder.go
@@ -180,7 +180,11 @@
 		h.startProbation(name, targets, settings)
 	}
 	for _, e := range decision.Ejected {
-		delete(h.ramps, e.Target)
+		if r := h.ramps[e.Target]; r != nil && r.probation {
+			delete(h.ramps, e.Target)
+		} else if r != nil {
+			r.Restart()
+		}
 	}
 	h.refreshView()
 	return h.status(now), decision
@@ -188,17 +192,22 @@
 
 // startColdRamp starts the ramp of a backend server that announces that it is cold.
 func (h *holder) startColdRamp(t fleet.Target, settings state.Pool) {
-	_, ramping := h.ramps[t.Name]
 	boot, warmed := h.warmed[t.Name]
 	if warmed && boot != t.Boot {
 		delete(h.warmed, t.Name)
 		warmed = false
 	}
-	if t.Phase == fleet.Cold && !ramping && !warmed {
+	if t.Phase == fleet.Cold && !h.isCold(t.Name) && !warmed {
 		h.ramps[t.Name] = h.newRamp(t, settings)
 	}
 }
 
+// isCold reports whether a server has the ramp of a cold one.
+func (h *holder) isCold(name string) bool {
+	r, ramping := h.ramps[name]
+	return ramping && !r.probation
+}
+
 // newRamp returns the ramp of a cold server. The previous holder may have used the rate of
 // the server until the last moment, and this one may have sent it requests as to a warm server.
 func (h *holder) newRamp(t fleet.Target, settings state.Pool) *Ramp {
@@ -215,8 +224,10 @@
 
 func (h *holder) startProbation(name string, targets []fleet.Target, settings state.Pool) {
 	for _, t := range targets {
-		if t.Name == name && t.Phase == fleet.Warm {
-			h.ramps[name] = NewRamp(t.Slots, max(1, settings.ColdSlots), min(time.Duration(settings.Ramp), probationRamp))
+		if t.Name == name && t.Phase == fleet.Warm && !h.isCold(name) {
+			r := NewRamp(t.Slots, max(1, settings.ColdSlots), min(time.Duration(settings.Ramp), probationRamp))
+			r.probation = true
+			h.ramps[name] = r
 		}
 	}
 }
@@ -250,7 +261,7 @@
 // is cold.
 func (h *holder) markCold(t fleet.Target, settings state.Pool) {
 	delete(h.warmed, t.Name)
-	if _, ramping := h.ramps[t.Name]; !ramping {
+	if !h.isCold(t.Name) {
 		h.ramps[t.Name] = h.newRamp(t, settings)
 		h.refreshView()
 	}
--- a/pool/ramp.go
+++ b/pool/ramp.go
@@ -30,6 +30,8 @@
 	recent []time.Time
 	// from is the time from which permits of a limited rate are granted.
 	from time.Time
+	// probation marks the ramp of a readmitted server that is not cold.
+	probation bool
 }
 
 // NewRamp returns the ramp of a backend server that has just turned cold.
@@ -118,12 +120,15 @@
 	r.Return()
 	switch {
 	case !success:
-		r.warmingSince = time.Time{}
+		r.Restart()
 	case r.warmingSince.IsZero():
 		r.warmingSince = now
 	}
 }
 
+// Restart begins the ramp anew. Permits and the requests of the last second still count.
+func (r *Ramp) Restart() { r.warmingSince = time.Time{} }
+
 // Finished reports whether the ramp has completed without a failed request.
 func (r *Ramp) Finished(now time.Time) bool {
 	return !r.warmingSince.IsZero() && now.Sub(r.warmingSince) >= r.duration
