Let a new leader of a small group accept changes at once

A leader whose process had never seen 2 * losses + 1 voters accepted no change for 3 s after each election, also in a fleet with fewer control VMs for good (found in review). The time runs from the first leader that the process knew.

--- a/ctrl/ctrl.go
+++ b/ctrl/ctrl.go
@@ -126,6 +126,8 @@
 	lastRepairError string
 	// reachedFullSize is set once this process has seen the full number of voters in the group.
 	reachedFullSize bool
+	// groupSince is when this process first knew a leader of its group.
+	groupSince time.Time
 	// firstIndex is the state index of the first ticket applied here, or of the
 	// first snapshot loaded with a ticket; 0 before either.
 	firstIndex    uint64
--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -270,6 +270,9 @@
 		return
 	}
 	leader := c.leaderVM(s)
+	if c.groupSince.IsZero() {
+		c.groupSince = c.options.Clock.Now()
+	}
 	if s.Role == quorum.Leader {
 		c.leaderSince = c.options.Clock.Now()
 		clear(c.watchers)
--- a/ctrl/repair.go
+++ b/ctrl/repair.go
@@ -14,8 +14,8 @@
 	// replicaTimeout is the silence after which a replica may be replaced. It is twice
 	// the longest election timeout, so that an election alone replaces no replica.
 	replicaTimeout = 2 * time.Second
-	// formationTimeout is how long a new leader of a group that is too small to tolerate
-	// MaxFailures accepts no tickets. A group of five is complete within a second;
+	// formationTimeout is how long a group that is too small to tolerate MaxFailures accepts no
+	// tickets after its start. A group of five is complete within a second;
 	// after the timeout a fleet with fewer VMs starts all the same.
 	formationTimeout = 3 * time.Second
 	// maxReplicas limits the size of a self-managed group.
@@ -210,7 +210,7 @@
 	if !c.selfManaged() || c.reachedFullSize {
 		return false
 	}
-	return now.Sub(c.leaderSince) < formationTimeout
+	return now.Sub(c.groupSince) < formationTimeout
 }
 
 func latest(a, b time.Time) time.Time {
