--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/dottereldeal/dottereldeal/platform/caller"
 )
 
 // stopGrace is the time between SIGTERM and SIGKILL at a planned stop.
@@ -171,7 +173,7 @@
 func (f *fleet) flags(p *process, bootstrap bool) []string {
 	list := []string{
 		"--vm", f.name(p), "--data-centre", p.centre, "--listen", f.addr(p, "links"), "--admin", f.addr(p, "admin"),
-		"--memory-limit", "284", "--platform-bounds", names.Bounds,
+		"--memory-limit", "284", "--platform-bounds", caller.Bounds,
 	}
 	if p.control {
 		list = append(append([]string{"control"}, list...), "--data-folder", filepath.Join(f.dir, f.name(p)+"-data"),
--- a/soak/operator.go
+++ b/soak/operator.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/dottereldeal/dottereldeal/platform/caller"
 )
 
 const (
@@ -24,7 +26,7 @@
 
 // order sends an order until it has a clear answer, and reports whether it was acknowledged.
 func (o *operator) order(ctx context.Context, s Step, body []byte, limit time.Duration) bool {
-	path := map[Action]string{Configure: names.Configure, Evacuate: names.Evacuate + s.Centre, TakeBack: names.TakeBack + s.Centre}[s.Action]
+	path := map[Action]string{Configure: caller.Configure, Evacuate: caller.Evacuate + s.Centre, TakeBack: caller.TakeBack + s.Centre}[s.Action]
 	n := o.record.order(Order{Action: s.Action, Version: s.Version, Centre: s.Centre, Sent: time.Now()})
 	end, pause := time.Now().Add(limit), minPause
 	for i := s.First; time.Now().Before(end) && ctx.Err() == nil; i++ {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/dottereldeal/dottereldeal/platform/caller"
 )
 
 // Action is a kind of step of a plan.
@@ -59,6 +61,15 @@
 	Pools   []string
 }
 
+// encode returns the configuration as the operator sends it.
+func (c Config) encode() ([]byte, error) {
+	var routes []caller.Route
+	for _, r := range c.Routes {
+		routes = append(routes, caller.Route{Prefix: r.Prefix, Pool: r.Pool, Idempotent: r.Idempotent})
+	}
+	return caller.Config(c.Version, routes, c.Pools)
+}
+
 // find returns the pool of a route, or "" if there is no such route.
 func (c Config) find(prefix string) string {
 	for _, r := range c.Routes {
--- a/soak/run.go
+++ b/soak/run.go
@@ -80,7 +80,11 @@
 	}
 	s.logf("links through proxies: %t", s.plan.Proxied)
 	first := s.plan.Configs[0]
-	if !s.operator.order(ctx, Step{Action: Configure, Version: first.Version}, render(configTemplate, first), firstConfigLimit) {
+	body, err := first.encode()
+	if err != nil {
+		return err
+	}
+	if !s.operator.order(ctx, Step{Action: Configure, Version: first.Version}, body, firstConfigLimit) {
 		return errors.New("the first configuration was not accepted")
 	}
 	s.clients.follow(first.Routes)
@@ -88,7 +92,7 @@
 		for _, centre := range centres {
 			for i := range serversPerCentre {
 				id := fmt.Sprintf("%s-%s-%d", pool, centre, i+1)
-				if _, err := startServer(ctx, id, pool, centre, s.fleet, s.record, &group); err != nil {
+				if _, err := startServer(ctx, id, pool, centre, s.fleet, s.record, &group, s.logf); err != nil {
 					return err
 				}
 			}
@@ -169,7 +173,12 @@
 		for _, c := range s.plan.Configs {
 			if c.Version == step.Version {
 				s.clients.follow(c.Routes)
-				s.operator.order(ctx, step, render(configTemplate, c), configOrderLimit)
+				body, err := c.encode()
+				if err != nil {
+					s.logf("version %d: %s", c.Version, err)
+					continue
+				}
+				s.operator.order(ctx, step, body, configOrderLimit)
 			}
 		}
 	}
--- a/soak/server.go
+++ b/soak/server.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/dottereldeal/dottereldeal/platform/caller"
 )
 
 const (
@@ -29,14 +31,15 @@
 	http             *http.Server
 	born             int64
 	count            int
+	log              func(format string, args ...any)
 }
 
-func startServer(ctx context.Context, id, pool, centre string, f *fleet, r *recorder, group *sync.WaitGroup) (*server, error) {
+func startServer(ctx context.Context, id, pool, centre string, f *fleet, r *recorder, group *sync.WaitGroup, log func(format string, args ...any)) (*server, error) {
 	l, err := net.Listen("tcp", f.base+".1.200:0")
 	if err != nil {
 		return nil, err
 	}
-	s := &server{id: id, pool: pool, centre: centre, addr: l.Addr().String(), fleet: f, record: r, born: time.Now().UnixMilli()}
+	s := &server{id: id, pool: pool, centre: centre, addr: l.Addr().String(), fleet: f, record: r, born: time.Now().UnixMilli(), log: log}
 	s.http = &http.Server{Handler: s}
 	group.Go(func() { s.http.Serve(l) })
 	group.Go(func() {
@@ -52,13 +55,17 @@
 	defer ticker.Stop()
 	for {
 		s.count++
-		body := render(heartbeatTemplate, map[string]any{
-			"Addr": s.addr, "Born": s.born, "Pool": s.pool, "Centre": s.centre, "Slots": serverSlots, "Count": s.count,
+		body, err := caller.Heartbeat(caller.Server{
+			Addr: s.addr, Born: s.born, Pool: s.pool, Centre: s.centre, Slots: serverSlots, Count: s.count,
 		})
+		if err != nil {
+			s.log("heartbeat of %s: %s", s.id, err)
+			return
+		}
 		nodes := s.fleet.platformAddrs()
 		rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
 		for _, node := range nodes {
-			if status, err := post(ctx, node, names.Heartbeat+s.id, body); err == nil && status/100 == 2 {
+			if status, err := post(ctx, node, caller.Register+s.id, body); err == nil && status/100 == 2 {
 				break
 			}
 		}
@@ -94,20 +101,20 @@
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
-		w.Header().Set(names.Instance, s.id)
+		w.Header().Set(caller.Instance, s.id)
 		return
 	}
-	if expected := r.Header.Get(names.Expected); expected != "" && expected != s.id {
-		w.Header().Set(names.Instance, s.id)
+	if expected := r.Header.Get(caller.Expected); expected != "" && expected != s.id {
+		w.Header().Set(caller.Instance, s.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	id := r.Header.Get(names.RequestID)
+	id := r.Header.Get(caller.RequestID)
 	s.record.run(Arrival{ID: id, Server: s.id, Pool: s.pool, Centre: s.centre, At: time.Now()})
 	io.Copy(io.Discard, r.Body)
 	time.Sleep(serviceTime)
-	w.Header().Set(names.RequestID, id)
-	w.Header().Set(names.Proof, "proof-"+id)
+	w.Header().Set(caller.RequestID, id)
+	w.Header().Set(caller.Proof, "proof-"+id)
 	fmt.Fprintf(w, "%s by %s\n", id, s.id)
 }
 
@@ -199,9 +206,9 @@
 	// Without GetBody, net/http does not send a request again by itself.
 	request.GetBody = nil
 	request.Host = "soak.example"
-	request.Header.Set(names.RequestID, q.ID)
-	request.Header.Set(names.Deadline, fmt.Sprint(clientTimeout.Milliseconds()))
-	request.Header.Set("Authorization", names.Authorization)
+	request.Header.Set(caller.RequestID, q.ID)
+	request.Header.Set(caller.Deadline, fmt.Sprint(clientTimeout.Milliseconds()))
+	request.Header.Set("Authorization", caller.Authorization)
 	transport := c.fresh
 	if q.Kept {
 		transport = c.kept
