--- a/soak/run.go
+++ b/soak/run.go
@@ -199,6 +199,9 @@
 	for _, o := range record.Orders {
 		if !o.Acked.IsZero() {
 			r.Acked++
+			if o.Action == Evacuate {
+				r.Evacuated++
+			}
 		}
 	}
 	for _, vm := range ends {
--- a/soak/server.go
+++ b/soak/server.go
@@ -77,23 +77,39 @@
 	}
 }
 
-// post makes a call on a connection of its own and closes that after a second.
+// maxRedirects is the number of redirects that callers of control follow.
+const maxRedirects = 2
+
+// post makes a call, each on a connection of its own that is closed after a second, and follows
+// redirects.
 func post(ctx context.Context, node, path string, body []byte) (status int, err error) {
+	url := "http://" + node + path
+	for range maxRedirects + 1 {
+		var location string
+		if status, location, err = postOnce(ctx, url, body); err != nil || status != http.StatusTemporaryRedirect {
+			break
+		}
+		url = location
+	}
+	return status, err
+}
+
+func postOnce(ctx context.Context, url string, body []byte) (status int, location string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
-		return 0, err
+		return 0, "", err
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Close = true
 	response, err := callTransport.RoundTrip(request)
 	if err != nil {
-		return 0, err
+		return 0, "", err
 	}
 	defer response.Body.Close()
 	_, err = io.Copy(io.Discard, response.Body)
-	return response.StatusCode, err
+	return response.StatusCode, response.Header.Get("Location"), err
 }
 
 var callTransport = &http.Transport{DisableKeepAlives: true}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -94,9 +94,11 @@
 	Runs     int           `json:"runs"`
 	Orders   int           `json:"orders"`
 	Acked    int           `json:"acked"`
-	Faults   int           `json:"faults"`
-	Stalls   int           `json:"stalls"`
-	Broken   map[Rule]int  `json:"broken"`
+	// Evacuated is the number of evacuations that were acknowledged.
+	Evacuated int          `json:"evacuated"`
+	Faults    int          `json:"faults"`
+	Stalls    int          `json:"stalls"`
+	Broken    map[Rule]int `json:"broken"`
 	// BrokenOld is the part of Broken at entries of the other version.
 	BrokenOld  map[Rule]int `json:"broken-old,omitempty"`
 	Violations []Violation  `json:"violations"`
