Call what is there for lagging replicas, large deltas and the leader's state

Two tests of lagging replicas started a group as newCompleteGroup does. Two places of ctrl/watch.go told whether an entry occupies a large delta slot. A state that repairs another one at its index was compared with the leader's twice, though equalsLeader says it. Behaviour and assertions unchanged.

--- a/ctrl/group_test.go
+++ b/ctrl/group_test.go
@@ -389,13 +389,9 @@
 func TestRemovalAtALaggingReplicaIsTheLastWord(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	g := newTestGroup(t)
-	g.start(true, g.all()...)
-	g.await("complete group", 4*time.Second, func() bool { return g.complete(groupSize) })
+	g, leader, lagging := newCompleteGroup(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 	defer cancel()
-	leader := g.leader()
-	lagging := (leader + 1) % groupSize
 	const pause = 400 * time.Millisecond // shorter than an election timeout
 	go g.nodes[lagging].do(context.Background(), func() { time.Sleep(pause) })
 	time.Sleep(pause / 8)
@@ -448,13 +444,9 @@
 func TestAnnouncementAtALaggingReplicaIsNotAcknowledgedWithoutEffect(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	g := newTestGroup(t)
-	g.start(true, g.all()...)
-	g.await("complete group", 4*time.Second, func() bool { return g.complete(groupSize) })
+	g, leader, lagging := newCompleteGroup(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
 	defer cancel()
-	leader := g.leader()
-	lagging := (leader + 1) % groupSize
 	announce := func(i int, phase state.TargetPhase, count uint64) {
 		s := state.Target{Name: "s1", Pool: "p", DataCentre: "a", Addr: "10.0.0.1:80", Slots: 4, Phase: phase, Boot: 7, Count: count}
 		is.NoErr(g.nodes[i].Register(ctx, s))
--- a/ctrl/watch.go
+++ b/ctrl/watch.go
@@ -116,6 +116,11 @@
 	return !w.leaving && now.Sub(w.lastHeard) <= reportTimeout
 }
 
+// receivesLargeDelta reports whether the entry occupies a large delta slot.
+func (w *watcher) receivesLargeDelta(now time.Time) bool {
+	return now.Sub(w.largeDeltaAt) < largeDeltaTimeout
+}
+
 // newControls returns the addresses of all control VMs, as the settings of an entry
 // may name others. It returns nil if the list was sent within controlsPeriod.
 func (c *Control) newControls(w *watcher) []*wire.Peer {
@@ -150,7 +155,7 @@
 	index := c.Ledger().State().Index()
 	c.lastPush, c.pushedIndex = now, index
 	for vm, w := range c.watchers {
-		if w.sentIndex < index && !w.brief && now.Sub(w.lastHeard) < pushTimeout && now.Sub(w.largeDeltaAt) >= largeDeltaTimeout {
+		if w.sentIndex < index && !w.brief && now.Sub(w.lastHeard) < pushTimeout && !w.receivesLargeDelta(now) {
 			c.sendDelta(vm, w)
 		}
 	}
@@ -194,7 +199,7 @@
 	now := c.options.Clock.Now()
 	busy := 0
 	for _, other := range c.watchers {
-		if other != w && now.Sub(other.largeDeltaAt) < largeDeltaTimeout {
+		if other != w && other.receivesLargeDelta(now) {
 			busy++
 		}
 	}
--- a/entry/repair.go
+++ b/entry/repair.go
@@ -70,7 +70,7 @@
 	if next.Index() != previous.Index() {
 		return next.Index() > previous.Index()
 	}
-	return w.isControl(from) || w.entry.freshness.checkDivergence(previous) != nil && w.entry.freshness.checkDivergence(next) == nil
+	return w.isControl(from) || w.entry.freshness.equalsLeader(next)
 }
 
 // verifiable reports whether a delta can be checked, or needs no check. Entries of versions
