Tell which versions of servers a roll-out leaves requests to

Cause: every server of a pool got requests, whatever its version. Change: pick.WithoutRetired removes the servers that get none (the new version at share 0 and once rolled back, the others from share 1 on and once completed, as long as a new one is there); pick.Trial is the share between. The round-robin baseline keeps to no share and uses the proven ones.

--- a/pick/roundrobin.go
+++ b/pick/roundrobin.go
@@ -56,7 +56,7 @@
 // Pick returns the next backend server of the pool.
 func (r *RoundRobin) Pick(_ context.Context, pool string, req Request) (Choice, error) {
 	current := r.state()
-	targets := Eligible(r.directory().Pool(pool), current)
+	targets := r.targets(pool, current)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
@@ -71,6 +71,13 @@
 	return Choice{}, ErrNoServer
 }
 
+// targets returns the backend servers of a pool that may receive new requests. It keeps to no
+// share, so a version on trial gets none.
+func (r *RoundRobin) targets(pool string, current state.State) []fleet.Target {
+	eligible := Eligible(r.directory().Pool(pool), current)
+	return TrialOf(pool, current).Proven(WithoutRetired(eligible, pool, current))
+}
+
 func (r *RoundRobin) ejected(name string, now time.Time) bool {
 	server := r.servers[name]
 	return server != nil && now.Before(server.ejectedUntil)
@@ -80,7 +87,7 @@
 // if the floor permits.
 func (r *RoundRobin) done(pool, name string, result health.Result) {
 	current := r.state()
-	targets := Eligible(r.directory().Pool(pool), current)
+	targets := r.targets(pool, current)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	server := r.servers[name]
