Let a roll-out decide which servers get a pool's requests, and report what came of them

Cause: holders and entries did not look at versions, so that a bad version would have got half of all requests, retries and hedges among them. Change: the scheduler counts which first attempts the version on trial is due (pool/versions.go), the share rounded down over what the cell sends on. Retries, hedges and requests of other cells use the other versions; so do requests for which the new servers have no room. Choices without a holder use them only. Floor, ejections, service time, waits, loads of cells and permits look at the side that they are about. A server that comes back to the list has its slots in use again. Measured by: go test -race ./pool ./entry.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -62,6 +62,8 @@
 type Entry struct {
 	options   Options
 	listeners Listeners
+	// boot numbers the starts of this VM.
+	boot      uint64
 	link      link.Transport
 	fleet     *fleet.Fleet
 	watcher   *configWatcher
@@ -94,14 +96,14 @@
 		link.Receive(e.receive), link.Tunnel(e.serveTunnel), link.Drop(e.options.Drop),
 	)
 	e.setPeers()
-	boot := uint64(e.options.Clock.Now().UnixNano())
+	e.boot = uint64(e.options.Clock.Now().UnixNano())
 	e.fleet = fleet.New(e.link,
-		fleet.Self(fleet.Member{VM: e.options.VM, Addr: e.options.LinkAddr(l), DataCentre: e.options.DataCentre, Boot: boot}),
+		fleet.Self(fleet.Member{VM: e.options.VM, Addr: e.options.LinkAddr(l), DataCentre: e.options.DataCentre, Boot: e.boot}),
 		fleet.Seeds(e.options.Peers.Names()...),
 		fleet.Clock(e.options.Clock), fleet.EventLog(e.options.EventLog),
 	)
 	e.leases = lease.New(e.link, e.fleet,
-		lease.VM(e.options.VM), lease.Boot(boot), lease.Voters(func() []string { return e.State().ActiveVoters() }),
+		lease.VM(e.options.VM), lease.Boot(e.boot), lease.Voters(func() []string { return e.State().ActiveVoters() }),
 		lease.Group(limit.ShardGroup), lease.DataCentre(pool.LeaseDataCentre), lease.CheckFresh(e.checkFresh), lease.Clock(e.options.Clock), lease.EventLog(e.options.EventLog),
 	)
 	e.limits = limit.NewDistributed(e.options.VM, e.options.Clock, e.link, e.leases, e.State).
@@ -275,6 +277,8 @@
 	defer stopLimits()
 	stopPools := e.options.Clock.Every(pool.Period, e.pools.Tick)
 	defer stopPools()
+	stopRollouts := e.options.Clock.Every(rolloutReportPeriod, e.reportRollouts)
+	defer stopRollouts()
 	stopRelay := e.options.Clock.Every(relay.Period, e.relay.Tick)
 	defer stopRelay()
 	var err error
--- a/pool/cell.go
+++ b/pool/cell.go
@@ -71,11 +71,16 @@
 // poolServers holds the eligible servers of one pool. The slices must not be modified.
 type poolServers struct {
 	cells map[string][]fleet.Target
+	// local are the servers, by cell, that entries choose from by themselves. They see their own
+	// requests only, and cannot keep a version on trial to its share of all.
+	local map[string][]fleet.Target
 	// names are the sorted names of the cells with eligible servers, and near those of the
 	// data centre of this VM.
 	names, near []string
 	// leaving holds, by cell, the servers that have said in answers that they leave.
 	leaving map[string][]fleet.Target
+	// retired are the versions that get no requests because of a roll-out.
+	retired []string
 }
 
 // servers returns the eligible servers of a pool. The result stays the same until the
@@ -92,7 +97,10 @@
 	}
 	division, _ := state.Get[state.Division](current, pool)
 	eligible := pick.Eligible(directory.Pool(pool), current)
-	next := newPoolServers(leaving.without(eligible), division, b.options.DataCentre)
+	staying := leaving.without(eligible)
+	serving := pick.WithoutRetired(staying, pool, current)
+	next := newPoolServers(serving, division, b.options.DataCentre).withLocal(pick.TrialOf(pool, current))
+	next.retired = retiredVersions(staying, serving)
 	next.leaving = make(map[string][]fleet.Target)
 	for _, t := range eligible {
 		if leaving.has(t) {
@@ -122,6 +130,18 @@
 	return p
 }
 
+// withLocal sets the servers that entries choose from by themselves during a trial.
+func (p *poolServers) withLocal(trial pick.Trial) *poolServers {
+	p.local = p.cells
+	if trial.Active() {
+		p.local = make(map[string][]fleet.Target)
+		for cell, targets := range p.cells {
+			p.local[cell] = trial.Proven(targets)
+		}
+	}
+	return p
+}
+
 // homeCells returns the cells of a pool in the order in which this VM asks them: first those
 // of its data centre, each time in an order of its own, so that entries spread over them.
 func (p *poolServers) homeCells(vm string) []string {
@@ -147,6 +167,11 @@
 	return b.servers(poolOfCell(cell, b.options.State())).cells[cell]
 }
 
+// localServers returns the servers of a cell that this VM chooses from by itself.
+func (b *Balancer) localServers(cell string) []fleet.Target {
+	return b.servers(poolOfCell(cell, b.options.State())).local[cell]
+}
+
 // target returns a backend server of the pool of a cell by name.
 func (b *Balancer) target(cell, name string) (fleet.Target, bool) {
 	return b.fleet.Directory().Target(poolOfCell(cell, b.options.State()), name)
--- a/pool/cost.go
+++ b/pool/cost.go
@@ -8,13 +8,23 @@
 )
 
 // selectServer returns the server with the lowest cost for a request, or nil if none of the
-// candidates has a free slot and is good enough.
+// candidates has a free slot and is good enough. A request that the version on trial is due goes to
+// another one if that has no such server.
 func (s *scheduler) selectServer(req request, candidates []*server, view poolView, now time.Time) *server {
+	for _, of := range s.versions.sides(req) {
+		if srv := s.cheapest(req, candidates, of, view, now); srv != nil {
+			return srv
+		}
+	}
+	return nil
+}
+
+func (s *scheduler) cheapest(req request, candidates []*server, of side, view poolView, now time.Time) *server {
 	var best *server
 	bestCost := 0.0
 	from := s.sender(req, now)
 	for _, srv := range candidates {
-		if !srv.hasFreeSlot(now) || slices.Contains(req.avoid, srv.name) || srv.paused(from.entry, now) {
+		if !s.versions.has(of, srv) || !srv.hasFreeSlot(now) || slices.Contains(req.avoid, srv.name) || srv.paused(from.entry, now) {
 			continue
 		}
 		cost, usable := s.cost(req, from, srv, view, now)
@@ -52,6 +62,7 @@
 		gray = max(gray, ejectedGray)
 	}
 	load := loadCost*float64(srv.inUse)/float64(max(1, srv.slots)) + shedCost*srv.shedShare(now) + s.networkCost(req, from, srv, view, now)
+	load -= s.versions.idleBonus(srv, now)
 	if from.suspect {
 		load += suspectCost * float64(srv.inUse) / float64(max(1, srv.slots))
 	}
@@ -75,13 +86,17 @@
 	if s.failureShare <= floorFailureShare {
 		return false
 	}
-	overdue := 0
+	overdue, total, of := 0, 0, s.versions.mainSide()
 	for _, srv := range s.servers {
+		if !s.versions.has(of, srv) {
+			continue
+		}
+		total++
 		if srv.overdue(now) {
 			overdue++
 		}
 	}
-	return overdue > health.MaxEjected(len(s.servers), view.floor)
+	return overdue > health.MaxEjected(total, view.floor)
 }
 
 // networkCost returns the cost of reaching a server: for another data centre, a connection
@@ -113,9 +128,9 @@
 func (s *scheduler) placeRegardless(req request, retryAfter time.Duration, now time.Time) placement {
 	var best *server
 	lowest := 0.0
-	moment, entry := s.model.At(now), s.entry(req.vm)
+	moment, entry, sides := s.model.At(now), s.entry(req.vm), s.versions.sides(req)
 	for _, srv := range s.servers {
-		if !srv.hasFreeSlot(now) || slices.Contains(req.avoid, srv.name) || srv.paused(entry, now) {
+		if !s.versions.hasAny(sides, srv) || !srv.hasFreeSlot(now) || slices.Contains(req.avoid, srv.name) || srv.paused(entry, now) {
 			continue
 		}
 		if cost := moment.Probability(srv.estimate) + shedCost*srv.shedShare(now); best == nil || cost < lowest {
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -5,6 +5,7 @@
 
 	"github.com/dottereldeal/dottereldeal/guard"
 	"github.com/dottereldeal/dottereldeal/health"
+	"github.com/dottereldeal/dottereldeal/pick"
 	"github.com/dottereldeal/dottereldeal/wire"
 )
 
@@ -17,6 +18,9 @@
 	targets := b.cellServers(cell)
 	if !sameSlice(targets, h.view.targets) || h.view.ramp == nil {
 		h.setTargets(targets, b.settings(cell), b.options.KeepConnections)
+		current := b.options.State()
+		h.view.trial = pick.TrialOf(poolOfCell(cell, current), current)
+		h.view.counter = b.counter(cell, b.options.Clock.Now())
 	}
 	return h.view
 }
--- a/pool/holder.go
+++ b/pool/holder.go
@@ -153,12 +153,18 @@
 
 // evaluate updates ramps and ejections. It returns the new status and the changes.
 func (h *holder) evaluate(targets []fleet.Target, settings state.Pool, now time.Time) (status, health.Decision) {
-	names := make([]string, len(targets))
 	boots := make(map[string]uint64, len(targets))
-	for i, t := range targets {
-		names[i], boots[t.Name] = t.Name, t.Boot
+	for _, t := range targets {
+		boots[t.Name] = t.Boot
 		h.startColdRamp(t, settings)
 	}
+	// Ejections would spend the floor's allowance on a bad version, and matter to entries that
+	// choose by themselves, which do not use it.
+	proven := h.view.trial.Proven(targets)
+	names := make([]string, len(proven))
+	for i, t := range proven {
+		names[i] = t.Name
+	}
 	for name := range h.warmed {
 		if _, present := boots[name]; !present {
 			delete(h.warmed, name)
@@ -175,7 +181,7 @@
 			h.warmed[name] = boot
 		}
 	}
-	decision := h.detector.Evaluate(names, settings.Floor, h.probationCount(targets), now)
+	decision := h.detector.Evaluate(names, settings.Floor, h.probationCount(proven), now)
 	for _, name := range decision.Readmitted {
 		h.startProbation(name, targets, settings)
 	}
@@ -274,6 +280,9 @@
 	}
 	best, free := "", 0
 	for name, r := range h.ramps {
+		if srv := h.scheduler.byName[name]; srv != nil && !h.scheduler.versions.acceptsForwarded(srv) {
+			continue // whoever asks for a permit does not use the version on trial
+		}
 		available := min(r.Limit(now)-r.InUse(now), h.scheduler.throttle(name).available(now))
 		if available > free || available == free && available > 0 && name < best {
 			best, free = name, available
--- a/pool/pause.go
+++ b/pool/pause.go
@@ -44,10 +44,14 @@
 
 // allPaused returns the time until the first server wants something from an entry again, if none
 // does at present.
-func (s *scheduler) allPaused(vm string, now time.Time) (time.Duration, bool) {
-	entry := s.entry(vm)
+func (s *scheduler) allPaused(req request, now time.Time) (time.Duration, bool) {
+	entry, sides, total := s.entry(req.vm), s.versions.sides(req), 0
 	var shortest time.Duration
 	for _, srv := range s.servers {
+		if !s.versions.hasAny(sides, srv) {
+			continue
+		}
+		total++
 		if !srv.paused(entry, now) {
 			return 0, false
 		}
@@ -55,7 +59,7 @@
 			shortest = left
 		}
 	}
-	return shortest, len(s.servers) > 0
+	return shortest, total > 0
 }
 
 // localPause is the pause that a server has named to this VM.
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -41,7 +41,7 @@
 // allPaused returns the time until the first server of a cell wants a request from this VM, 0 if
 // one does now.
 func (b *Balancer) allPaused(cell string) time.Duration {
-	targets := b.cellServers(cell)
+	targets := b.localServers(cell)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	_, shortest := b.cellState(cell).withoutPaused(targets, b.options.Clock.Now())
@@ -57,7 +57,14 @@
 
 // homeCell returns the cell whose servers this VM chooses from by itself.
 func (b *Balancer) homeCell(pool string) string {
-	if cells := b.servers(pool).homeCells(b.options.VM); len(cells) > 0 {
+	list := b.servers(pool)
+	cells := list.homeCells(b.options.VM)
+	for _, cell := range cells {
+		if len(list.local[cell]) > 0 {
+			return cell
+		}
+	}
+	if len(cells) > 0 {
 		return cells[0]
 	}
 	return pool
@@ -66,7 +73,7 @@
 // pick makes one local choice. If none is possible but a permit may still arrive, it
 // returns the state of the cell to wait on.
 func (b *Balancer) pick(cell string, r pick.Request) (pick.Choice, *cellState, bool) {
-	targets := b.cellServers(cell)
+	targets := b.localServers(cell)
 	settings := b.settings(cell)
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -182,7 +182,7 @@
 // know the server yet, or knows that it must not be used, the slot is released.
 func (b *Balancer) acceptSlot(cell, holder string, id uint64, name, label string) (pick.Choice, bool) {
 	t, known := b.target(cell, name)
-	if !known || !pick.IsEligible(t, b.options.State()) || b.leaving.Load().has(t) {
+	if !known || !pick.IsEligible(t, b.options.State()) || b.leaving.Load().has(t) || b.isRetired(t) {
 		b.releaseSlot(cell, holder, id, health.Result{})
 		return pick.Choice{}, false
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -63,6 +63,8 @@
 	pending map[uint64]*pendingRequest
 	// guard knows the requests that may crash servers.
 	guard *guard.Table
+	// counters count the results of versions, by cell.
+	counters map[string]*cellCounter
 }
 
 // cellState is what this VM knows about one cell.
@@ -83,7 +85,7 @@
 	b := &Balancer{
 		options: newOptions(opts...), link: l, fleet: f, leases: leases,
 		cellStates: make(map[string]*cellState), holders: make(map[string]*holder), pending: make(map[uint64]*pendingRequest),
-		guard: guard.New(), lastID: link.FirstNumber(),
+		guard: guard.New(), lastID: link.FirstNumber(), counters: make(map[string]*cellCounter),
 	}
 	b.leaving.Store(&leavingServers{})
 	f.Watch(fleet.KindEjection, b.updateStatus)
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -42,13 +42,19 @@
 
 // servedPerSecond returns the rate at which slots become free while all of them are in use.
 func (s *scheduler) servedPerSecond(now time.Time) float64 {
-	served := 0.0
+	served, onTrial := 0.0, 0.0
 	moment := s.model.At(now)
 	for _, srv := range s.servers {
-		if moment.Probability(srv.estimate) <= maxGrayNonIdempotent {
+		if moment.Probability(srv.estimate) > maxGrayNonIdempotent {
+			continue
+		}
+		if s.versions.acceptsForwarded(srv) {
 			served += srv.servedPerSecond(s.serviceTime)
+		} else {
+			onTrial += srv.servedPerSecond(s.serviceTime)
 		}
 	}
+	served += min(onTrial, s.versions.trial.Share*s.backlog.perSecond)
 	if served == 0 {
 		return 1 / max(s.serviceTime, time.Millisecond).Seconds()
 	}
@@ -114,6 +120,7 @@
 		if !ok {
 			return placements
 		}
+		s.versions.sent(s.queue[best], nil)
 		placements = append(placements, placement{request: s.queue[best], forward: to})
 		s.queue = slices.Delete(s.queue, best, best+1)
 	}
@@ -137,6 +144,7 @@
 			return true
 		}
 		if to, ok := s.otherCell(req, true, now); ok {
+			s.versions.sent(req, nil)
 			placements = append(placements, placement{request: req, forward: to})
 		} else {
 			placements = append(placements, s.placeRegardless(req, s.retryAfter(0, s.servedPerSecond(now)), now))
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -4,9 +4,11 @@
 	"slices"
 	"time"
 
+	"github.com/dottereldeal/dottereldeal/canary"
 	"github.com/dottereldeal/dottereldeal/fleet"
 	"github.com/dottereldeal/dottereldeal/guard"
 	"github.com/dottereldeal/dottereldeal/health"
+	"github.com/dottereldeal/dottereldeal/pick"
 	"github.com/dottereldeal/dottereldeal/retry"
 )
 
@@ -101,6 +103,7 @@
 type assignment struct {
 	server    *server
 	workspace string
+	route     string
 	print     guard.Print
 	// boot is the server's when it was chosen.
 	boot  uint64
@@ -153,6 +156,9 @@
 	evidence     evidence
 	overflow     *overflow
 	backlog      backlog
+	versions     versions
+	// counter counts the results of the versions, nil while there is no roll-out.
+	counter *canary.Counter
 	// budget limits the retries of the whole fleet.
 	budget *retry.Budget
 	// assumedLimits are the limits of servers that are not in servers yet.
@@ -189,6 +195,10 @@
 	belowFloor bool
 	// idleTimeout is how long entries keep idle connections, 0 if they do not.
 	idleTimeout time.Duration
+	// trial is the share of the requests that a new version gets, and counter counts the results
+	// of the versions while a roll-out is running.
+	trial   pick.Trial
+	counter *canary.Counter
 }
 
 // place assigns, queues or rejects a request.
@@ -202,6 +212,7 @@
 		s.budget.Deposit()
 	}
 	s.backlog.arrived(now)
+	s.versions.arrived(req)
 	if req.arrived && !req.forwarded && !s.budget.Withdraw() {
 		return placement{request: req, retryAfter: minRetryAfter}
 	}
@@ -213,9 +224,10 @@
 		return s.assign(req, srv, now)
 	}
 	_, possible := s.queueWait(req, now)
-	pause, paused := s.allPaused(req.vm, now)
+	pause, paused := s.allPaused(req, now)
 	possible = possible && !paused
 	if to, ok := s.otherCell(req, possible, now); ok {
+		s.versions.sent(req, nil)
 		return placement{request: req, forward: to}
 	}
 	if paused {
@@ -246,7 +258,7 @@
 	s.sync(view, now)
 	moment := s.model.At(now)
 	for _, srv := range s.servers {
-		if srv.ramp == nil && !srv.ejected && moment.Probability(srv.estimate) <= maxGrayNonIdempotent {
+		if srv.ramp == nil && !srv.ejected && s.versions.acceptsForwarded(srv) && moment.Probability(srv.estimate) <= maxGrayNonIdempotent {
 			freeSlots += srv.freeSlots(now)
 		}
 	}
@@ -257,7 +269,7 @@
 
 // assign takes a slot for a request.
 func (s *scheduler) assign(req request, srv *server, now time.Time) placement {
-	a := assignment{final: !req.idempotent || req.arrived, server: srv, workspace: req.workspace, print: req.print, boot: srv.boot, since: now, until: req.deadline.Add(abandonedAfter)}
+	a := assignment{final: !req.idempotent || req.arrived, server: srv, workspace: req.workspace, route: req.route, print: req.print, boot: srv.boot, since: now, until: req.deadline.Add(abandonedAfter)}
 	if srv.ramp != nil {
 		a.ramping = true
 		srv.ramp.Grant(now)
@@ -266,6 +278,7 @@
 		// An entry of an earlier version numbers its requests anew after each start.
 		s.release(req.key(), earlier)
 	}
+	s.versions.sent(req, srv)
 	srv.throttle.take(now)
 	srv.recordAssigned(now)
 	srv.inUse++
@@ -306,6 +319,7 @@
 		s.observe(key.vm, a, r, now)
 	}
 	s.recordEvidence(a, r, now)
+	s.countVersion(key.vm, a, r, pathFailed, now)
 	return a.server.name, true
 }
 
@@ -335,7 +349,9 @@
 		s.evidence.failed(r, s.serviceTime)
 		s.blame(a.server, vm, now)
 	default:
-		s.serviceTime += time.Duration(serviceTimeWeight * float64(r.Latency-s.serviceTime))
+		if s.versions.has(s.versions.mainSide(), a.server) {
+			s.serviceTime += time.Duration(serviceTimeWeight * float64(r.Latency-s.serviceTime))
+		}
 		a.server.estimate = a.server.estimate.WithResult(s.model, false, a.seen, a.since)
 	}
 }
--- a/pool/server.go
+++ b/pool/server.go
@@ -12,6 +12,7 @@
 type server struct {
 	name       string
 	dataCentre string
+	version    string
 	slots      int
 	boot       uint64
 	estimate   health.Estimate
@@ -148,6 +149,8 @@
 // sync updates the servers if the pool's targets have changed. A restarted server starts
 // with a new estimate.
 func (s *scheduler) sync(view poolView, now time.Time) {
+	s.versions.set(view.trial)
+	s.counter = view.counter
 	if sameSlice(s.synced, view.targets) {
 		return
 	}
@@ -158,6 +161,7 @@
 		srv, known := s.byName[t.Name]
 		if !known {
 			srv = &server{name: t.Name}
+			s.adopt(srv, t.Boot)
 		}
 		if known && srv.boot != t.Boot {
 			s.guard.Gone(t.Name)
@@ -170,7 +174,7 @@
 			srv.throttle = newThrottle(perSecond, now)
 			delete(s.assumedLimits, t.Name)
 		}
-		srv.dataCentre, srv.slots = t.DataCentre, t.Slots
+		srv.dataCentre, srv.version, srv.slots = t.DataCentre, t.Version, t.Slots
 		servers = append(servers, srv)
 		byName[t.Name] = srv
 	}
@@ -181,9 +185,21 @@
 		}
 	}
 	s.servers, s.byName = servers, byName
+	s.versions.setServers(servers)
 	s.refresh(view)
 }
 
+// adopt takes over the slots in use of a server that had left the list while it ran requests.
+func (s *scheduler) adopt(srv *server, boot uint64) {
+	for key, a := range s.assignments {
+		if a.server.name == srv.name && a.boot == boot {
+			a.server = srv
+			s.assignments[key] = a
+			srv.inUse++
+		}
+	}
+}
+
 // refresh updates which servers are ejected or cold.
 func (s *scheduler) refresh(view poolView) {
 	for _, srv := range s.servers {
