--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -5,20 +5,20 @@
 
 	"github.com/dottereldeal/dottereldeal/guard"
 	"github.com/dottereldeal/dottereldeal/health"
+	"github.com/dottereldeal/dottereldeal/sched"
 	"github.com/dottereldeal/dottereldeal/wire"
 )
 
 // This file is the holder's side of placement: it passes the requests and results of entries
 // to the scheduler of a cell, and its decisions back. placement.go is the entries' side.
 
-// cellView returns the scheduler's view of the backend servers of its cell. It costs no more
-// for a large cell than for a small one while neither the servers nor the state change.
-func (b *Balancer) cellView(cell string, h *holder) poolView {
+// syncServers passes the backend servers of a cell to its holder. It costs no more for a large
+// cell than for a small one while neither the servers nor the state change.
+func (b *Balancer) syncServers(cell string, h *sched.Holder) {
 	targets := b.cellServers(cell)
-	if !sameSlice(targets, h.view.targets) || h.view.ramp == nil {
-		h.setTargets(targets, b.settings(cell), b.options.KeepConnections)
+	if !h.HasTargets(targets) {
+		h.SetTargets(targets, b.settings(cell), b.options.KeepConnections)
 	}
-	return h.view
 }
 
 // receiveSlotAsk handles a slot request of an entry, which the holder of another cell may
@@ -30,38 +30,39 @@
 	h := b.localHolder(m.GetPool())
 	if h == nil {
 		b.mu.Unlock()
-		b.sendAnswer(req.vm, &wire.SlotAnswer{Pool: m.GetPool(), Id: req.id, NotHolder: true})
+		b.sendAnswer(req.VM, &wire.SlotAnswer{Pool: m.GetPool(), Id: req.ID, NotHolder: true})
 		return
 	}
-	placed := h.scheduler.place(req, b.cellView(m.GetPool(), h), now)
+	b.syncServers(m.GetPool(), h)
+	placed := h.Place(req, now)
 	b.mu.Unlock()
-	b.sendPlacements(m.GetPool(), []placement{placed}, now)
+	b.sendPlacements(m.GetPool(), []sched.Placement{placed}, now)
 }
 
 // sendPlacements sends the decisions of a scheduler: to the entries with the requests, which
 // may include this one, or to the holders of other cells. It must be called without the lock.
-func (b *Balancer) sendPlacements(cell string, placements []placement, now time.Time) {
+func (b *Balancer) sendPlacements(cell string, placements []sched.Placement, now time.Time) {
 	for _, placed := range placements {
-		if placed.forward != (destination{}) {
+		if placed.Forward != (sched.Destination{}) {
 			b.forward(placed, now)
 			continue
 		}
-		b.sendAnswer(placed.request.vm, &wire.SlotAnswer{
-			Pool: cell, Id: placed.request.id, Target: placed.target, Queued: placed.queued, RetryMicros: uint64(placed.retryAfter.Microseconds()),
-			Quarantined: placed.quarantined,
+		b.sendAnswer(placed.Request.VM, &wire.SlotAnswer{
+			Pool: cell, Id: placed.Request.ID, Target: placed.Target, Queued: placed.Queued, RetryMicros: uint64(placed.RetryAfter.Microseconds()),
+			Quarantined: placed.Quarantined,
 		})
 	}
 }
 
 // forward passes a request on to the holder of another cell.
-func (b *Balancer) forward(placed placement, now time.Time) {
-	m := placed.request.wire(placed.forward.cell, now)
-	m.Vm = placed.request.vm
-	if placed.forward.vm == b.options.VM {
+func (b *Balancer) forward(placed sched.Placement, now time.Time) {
+	m := requestToWire(placed.Request, placed.Forward.Cell, now)
+	m.Vm = placed.Request.VM
+	if placed.Forward.VM == b.options.VM {
 		b.receiveSlotAsk(b.options.VM, m)
 		return
 	}
-	b.link.Send(placed.forward.vm, &wire.Envelope{Body: &wire.Envelope_SlotAsk{SlotAsk: m}})
+	b.link.Send(placed.Forward.VM, &wire.Envelope{Body: &wire.Envelope_SlotAsk{SlotAsk: m}})
 }
 
 func (b *Balancer) sendAnswer(vm string, answer *wire.SlotAnswer) {
@@ -85,25 +86,25 @@
 		b.mu.Unlock()
 		return
 	}
-	target, assigned := h.scheduler.done(requestKey{from, m.GetId()}, result, now)
+	target, assigned := h.Done(sched.Key{VM: from, ID: m.GetId()}, result, now)
 	if boot := m.GetLeavingBoot(); assigned && boot != 0 {
 		b.markLeaving(m.GetPool(), target, boot)
 	}
-	view := b.cellView(m.GetPool(), h)
+	b.syncServers(m.GetPool(), h)
 	if assigned {
 		b.recordPlaced(h, from, m.GetPool(), target, result, now)
 	}
-	placements := h.scheduler.placeQueued(view, now)
+	placements := h.PlaceQueued(now)
 	b.mu.Unlock()
 	b.sendPlacements(m.GetPool(), placements, now)
 }
 
 // recordPlaced passes the result of a request that this holder has placed to the failure
 // detector, and starts the ramp of a server that turned out to be cold.
-func (b *Balancer) recordPlaced(h *holder, vm, cell, target string, r health.Result, now time.Time) {
+func (b *Balancer) recordPlaced(h *sched.Holder, vm, cell, target string, r health.Result, now time.Time) {
 	report := health.Report{Target: target, Cold: r.Cold}
 	report.Stats.Add(r)
-	h.report(vm, []health.Report{report}, now)
+	h.Report(vm, []health.Report{report}, now)
 	if r.Cold {
 		b.markCold(h, cell, target)
 	}
@@ -120,13 +121,12 @@
 		b.mu.Unlock()
 		return
 	}
-	view := b.cellView(cell, h)
-	h.scheduler.setCutOff(cutOff, now)
-	placements := h.scheduler.tick(view, now)
+	b.syncServers(cell, h)
+	h.SetCutOff(cutOff, now)
+	placements := h.Tick(now)
 	var load *wire.CellLoad
-	if divided && now.Sub(h.loadSentAt) >= loadInterval {
-		h.loadSentAt = now
-		free, wait := h.scheduler.load(view, now)
+	if divided && h.LoadDue(now) {
+		free, wait := h.Load(now)
 		load = &wire.CellLoad{Cell: cell, FreeSlots: uint32(free), WaitMicros: uint64(wait.Microseconds())}
 	}
 	b.mu.Unlock()
@@ -156,12 +156,23 @@
 // receiveLoad records the load of a cell for all other cells of its pool held by this VM.
 func (b *Balancer) receiveLoad(from string, m *wire.CellLoad, now time.Time) {
 	pool := poolOfCell(m.GetCell(), b.options.State())
-	load := cellLoad{vm: from, freeSlots: int(m.GetFreeSlots()), wait: time.Duration(m.GetWaitMicros()) * time.Microsecond, reportedAt: now}
+	load := sched.CellLoad{VM: from, FreeSlots: int(m.GetFreeSlots()), Wait: time.Duration(m.GetWaitMicros()) * time.Microsecond, ReportedAt: now}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for cell, h := range b.holders {
 		if cell != m.GetCell() && poolOfCell(cell, b.options.State()) == pool {
-			h.scheduler.overflow.report(m.GetCell(), load)
+			h.ReportLoad(m.GetCell(), load)
 		}
 	}
 }
+
+// cutOffEntries returns the entries that reach no server by themselves.
+func (b *Balancer) cutOffEntries() []string {
+	var vms []string
+	for _, m := range b.fleet.Members() {
+		if m.CutOff {
+			vms = append(vms, m.VM)
+		}
+	}
+	return vms
+}
--- a/pool/permit.go
+++ b/pool/permit.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/dottereldeal/dottereldeal/sched"
 	"github.com/dottereldeal/dottereldeal/wire"
 )
 
@@ -79,19 +80,19 @@
 }
 
 // answerPermit takes back the returned permits and grants a new one if available.
-func (b *Balancer) answerPermit(h *holder, m *wire.PermitAsk, now time.Time) *wire.PermitAnswer {
+func (b *Balancer) answerPermit(h *sched.Holder, m *wire.PermitAsk, now time.Time) *wire.PermitAnswer {
 	successes := m.GetWell()
 	for i, target := range m.GetDone() {
-		h.done(target, i < len(successes) && successes[i], now)
+		h.PermitDone(target, i < len(successes) && successes[i], now)
 	}
 	for _, target := range m.GetUnused() {
-		h.returnPermit(target)
+		h.ReturnPermit(target)
 	}
-	answer := &wire.PermitAnswer{Pool: m.GetPool(), LifetimeMicros: uint64(permitLifetime.Microseconds())}
+	answer := &wire.PermitAnswer{Pool: m.GetPool(), LifetimeMicros: uint64(sched.PermitLifetime.Microseconds())}
 	if !m.GetWant() {
 		return answer
 	}
-	if target, ok := h.permit(now); ok {
+	if target, ok := h.Permit(now); ok {
 		answer.Target = target
 	}
 	return answer
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -105,7 +105,7 @@
 	for _, t := range targets {
 		s := cs.servers[t.Name]
 		sawCold := s != nil && now.Before(s.coldUntil)
-		if sawCold || slices.Contains(cs.status.cold, t.Name) || cs.announcedCold(t) {
+		if sawCold || slices.Contains(cs.status.Cold, t.Name) || cs.announcedCold(t) {
 			cold = append(cold, t)
 			continue
 		}
@@ -117,14 +117,14 @@
 // announcedCold reports whether a backend server announces that it is cold and has not
 // finished its ramp.
 func (cs *cellState) announcedCold(t fleet.Target) bool {
-	boot, warmed := cs.status.warmed[t.Name]
+	boot, warmed := cs.status.Warmed[t.Name]
 	return t.Phase == fleet.Cold && !(warmed && boot == t.Boot)
 }
 
 // withoutEjected removes the ejected backend servers, as far as the floor permits.
 func (cs *cellState) withoutEjected(targets []fleet.Target, total int, floor float64) []fleet.Target {
 	most := health.MaxEjected(total, floor)
-	ejected := cs.status.ejected[:min(most, len(cs.status.ejected))]
+	ejected := cs.status.Ejected[:min(most, len(cs.status.Ejected))]
 	if len(ejected) == 0 {
 		return targets
 	}
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -7,6 +7,7 @@
 	"github.com/dottereldeal/dottereldeal/fleet"
 	"github.com/dottereldeal/dottereldeal/health"
 	"github.com/dottereldeal/dottereldeal/pick"
+	"github.com/dottereldeal/dottereldeal/sched"
 	"github.com/dottereldeal/dottereldeal/wire"
 )
 
@@ -121,10 +122,10 @@
 		objective = remaining
 	}
 	now := b.options.Clock.Now()
-	return request{
-		id: id, dataCentre: b.options.DataCentre, idempotent: r.Idempotent, rank: r.Rank, workspace: r.Workspace, route: r.Route,
-		print: r.Print, hedge: r.Hedge, avoid: r.Avoid, arrived: r.Arrived, bytes: r.Bytes, objective: now.Add(objective), deadline: now.Add(remaining),
-	}.wire(cell, now)
+	return requestToWire(sched.Request{
+		ID: id, DataCentre: b.options.DataCentre, Idempotent: r.Idempotent, Rank: r.Rank, Workspace: r.Workspace, Route: r.Route,
+		Print: r.Print, Hedge: r.Hedge, Avoid: r.Avoid, Arrived: r.Arrived, Bytes: r.Bytes, Objective: now.Add(objective), Deadline: now.Add(remaining),
+	}, cell, now)
 }
 
 // awaitSlot waits for the decision of the holder. It reports false, so that this VM chooses
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -5,8 +5,9 @@
 // The holder sees the requests of the whole fleet, so it detects a gray failure after
 // few requests on each VM. It ejects servers down to the pool's floor, and issues the
 // permits that every request to a cold backend server needs. The status that it
-// publishes is gossiped to all entries. In addition, an entry avoids servers that
-// fail only its own requests, within the same floor.
+// publishes is gossiped to all entries. Package sched makes its decisions; this one passes
+// it the messages and sends its answers. In addition, an entry avoids servers that fail
+// only its own requests, within the same floor.
 //
 // # Usage
 //
@@ -29,6 +30,7 @@
 	"github.com/dottereldeal/dottereldeal/health"
 	"github.com/dottereldeal/dottereldeal/lease"
 	"github.com/dottereldeal/dottereldeal/link"
+	"github.com/dottereldeal/dottereldeal/sched"
 	"github.com/dottereldeal/dottereldeal/state"
 	"github.com/dottereldeal/dottereldeal/wire"
 )
@@ -36,8 +38,6 @@
 const (
 	// Period is the interval at which Tick must be called.
 	Period = 100 * time.Millisecond
-	// routineReportInterval is the interval between reports on a pool without failures.
-	routineReportInterval = 500 * time.Millisecond
 	// urgentWait is the time a request may wait for its answer before it is reported
 	// immediately.
 	urgentWait = 200 * time.Millisecond
@@ -57,7 +57,7 @@
 	mu sync.Mutex
 	// cellStates and holders are by the name of the cell.
 	cellStates map[string]*cellState
-	holders    map[string]*holder
+	holders    map[string]*sched.Holder
 	lastID     uint64
 	// pending holds the slot requests that wait for the answer of a holder, by ID.
 	pending map[uint64]*pendingRequest
@@ -68,7 +68,7 @@
 // cellState is what this VM knows about one cell.
 type cellState struct {
 	name       string
-	status     status
+	status     sched.Status
 	servers    map[string]*serverStats
 	latency    latencyStats
 	lastReport time.Time
@@ -82,7 +82,7 @@
 func New(l link.Transport, f *fleet.Fleet, leases *lease.Manager, opts ...Option) *Balancer {
 	b := &Balancer{
 		options: newOptions(opts...), link: l, fleet: f, leases: leases,
-		cellStates: make(map[string]*cellState), holders: make(map[string]*holder), pending: make(map[uint64]*pendingRequest),
+		cellStates: make(map[string]*cellState), holders: make(map[string]*sched.Holder), pending: make(map[uint64]*pendingRequest),
 		guard: guard.New(), lastID: link.FirstNumber(),
 	}
 	b.leaving.Store(&leavingServers{})
@@ -119,9 +119,9 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	next := status{ejected: body.GetTargets(), cold: body.GetCold(), warmed: make(map[string]uint64)}
+	next := sched.Status{Ejected: body.GetTargets(), Cold: body.GetCold(), Warmed: make(map[string]uint64)}
 	for _, w := range body.GetWarmed() {
-		next.warmed[w.GetName()] = w.GetBoot()
+		next.Warmed[w.GetName()] = w.GetBoot()
 	}
 	limits := make(map[string]float64)
 	for _, l := range body.GetLimited() {
@@ -168,7 +168,7 @@
 
 // report returns the results that are due to be sent to the holder. Failures, cold
 // servers and long waits are reported at once, everything else every
-// routineReportInterval.
+// sched.ReportInterval.
 func (cs *cellState) report(now time.Time) []health.Report {
 	urgent := false
 	var reports []health.Report
@@ -183,7 +183,7 @@
 			Target: name, Stats: s.stats, Cold: s.cold, Limit: s.reportedLimit, LeavingBoot: s.leavingBoot, Oldest: oldestWait, InFlight: len(s.inFlight),
 		})
 	}
-	if !urgent && now.Sub(cs.lastReport) < routineReportInterval {
+	if !urgent && now.Sub(cs.lastReport) < sched.ReportInterval {
 		return nil
 	}
 	cs.lastReport = now
@@ -216,7 +216,7 @@
 	if h == nil {
 		return
 	}
-	h.report(vm, reports, now)
+	h.Report(vm, reports, now)
 	for _, r := range reports {
 		if r.Cold {
 			b.markCold(h, cell, r.Target)
@@ -229,29 +229,30 @@
 }
 
 // localHolder returns the holder of a cell, or nil if this VM does not hold it.
-func (b *Balancer) localHolder(cell string) *holder {
+func (b *Balancer) localHolder(cell string) *sched.Holder {
 	since, held := b.leases.Held(LeaseName(cell))
 	if !held {
 		delete(b.holders, cell)
 		return nil
 	}
 	h, ok := b.holders[cell]
-	if !ok || !h.since.Equal(since) {
-		h = newHolder(since, b.retryBudget(cell)...)
-		for _, name := range b.cellState(cell).status.cold {
+	if !ok || !h.Since().Equal(since) {
+		h = sched.New(
+			sched.Since(since), sched.RetryBudget(b.retryBudget(cell)...), sched.Evidence(b.guard, cell),
+			sched.Limits(b.knownLimits(poolOfCell(cell, b.options.State()))),
+		)
+		for _, name := range b.cellState(cell).status.Cold {
 			b.markCold(h, cell, name)
 		}
-		h.scheduler.guard, h.scheduler.cell = b.guard, cell
-		h.scheduler.assumeLimits(b.knownLimits(poolOfCell(cell, b.options.State())))
 		b.holders[cell] = h
 	}
 	return h
 }
 
 // markCold starts the ramp of a backend server that turned out to be cold.
-func (b *Balancer) markCold(h *holder, cell, name string) {
+func (b *Balancer) markCold(h *sched.Holder, cell, name string) {
 	if t, known := b.target(cell, name); known {
-		h.markCold(t, b.settings(cell))
+		h.MarkCold(t, b.settings(cell))
 	}
 }
 
@@ -281,32 +282,32 @@
 		b.mu.Unlock()
 		return
 	}
-	next, decision := h.evaluate(b.cellServers(cell), settings, now)
-	next.leaving = b.leavingOf(cell)
-	before := h.published
-	publish := h.publishDue(next, b.options.Placement, now)
+	next, decision := h.Evaluate(b.cellServers(cell), settings, now)
+	next.Leaving = b.leavingOf(cell)
+	before := h.Published()
+	publish := h.PublishDue(next, b.options.Placement == PlacementLocal, now)
 	b.mu.Unlock()
 	b.recordEvents(settings.Name, decision)
 	if publish {
-		b.recordLimits(settings.Name, before.limits, next.limits)
-		b.recordSuspects(settings.Name, before.suspects, next.suspects, now)
+		b.recordLimits(settings.Name, before.Limits, next.Limits)
+		b.recordSuspects(settings.Name, before.Suspects, next.Suspects, now)
 		b.publish(cell, next, now)
 	}
 	b.tickScheduler(cell, now)
 }
 
 // publish gossips the status of a cell to all entries.
-func (b *Balancer) publish(cell string, next status, now time.Time) {
+func (b *Balancer) publish(cell string, next sched.Status, now time.Time) {
 	m := &wire.Ejections{
-		Targets: next.ejected, Cold: next.cold, Suspects: suspectsToWire(next.suspects, now), Cleared: printsToWire(next.cleared),
+		Targets: next.Ejected, Cold: next.Cold, Suspects: suspectsToWire(next.Suspects, now), Cleared: printsToWire(next.Cleared),
 	}
-	for name, boot := range next.warmed {
+	for name, boot := range next.Warmed {
 		m.Warmed = append(m.Warmed, &wire.Warmed{Name: name, Boot: boot})
 	}
-	for name, perSecond := range next.limits {
+	for name, perSecond := range next.Limits {
 		m.Limited = append(m.Limited, &wire.Limited{Name: name, PerSecond: perSecond})
 	}
-	for name, boot := range next.leaving {
+	for name, boot := range next.Leaving {
 		m.Leaving = append(m.Leaving, &wire.Warmed{Name: name, Boot: boot})
 	}
 	body, err := proto.Marshal(m)
@@ -371,8 +372,8 @@
 	defer b.mu.Unlock()
 	for _, cell := range b.cells(pool) {
 		next := b.cellState(cell).status
-		ejected = append(ejected, next.ejected...)
-		cold = append(cold, next.cold...)
+		ejected = append(ejected, next.Ejected...)
+		cold = append(cold, next.Cold...)
 	}
 	return ejected, cold
 }
--- a/pool/suspect.go
+++ b/pool/suspect.go
@@ -18,60 +18,6 @@
 // This file keeps requests that crash the servers that run them from further servers; package
 // guard has the evidence and the decisions.
 
-const (
-	// suspectCost is the cost of a fully used server for a request that may crash it, so that
-	// few others run beside it.
-	suspectCost = 0.25
-	// suspectsInterval is the shortest time between two publications of changed suspects that
-	// are not in quarantine.
-	suspectsInterval = 500 * time.Millisecond
-)
-
-// mustWait reports whether a request has to wait until another copy of it has ended. Copies of
-// a suspect run one at a time, so that each of them can crash one server only.
-func (s *scheduler) mustWait(req request) bool {
-	return s.copies[req.print] > 0 && s.guard.Suspected(req.print)
-}
-
-// queueSuspect queues a request that has to wait for another copy of it. A hedge would wait for
-// its own first attempt.
-func (s *scheduler) queueSuspect(req request, now time.Time) placement {
-	if _, possible := s.queueWait(req, now); req.hedge || !possible {
-		return placement{request: req, retryAfter: minRetryAfter}
-	}
-	s.queue = append(s.queue, req)
-	return placement{request: req, queued: true}
-}
-
-// rejectQuarantined removes the queued requests that have been put in quarantine meanwhile.
-func (s *scheduler) rejectQuarantined(now time.Time) []placement {
-	var placements []placement
-	s.queue = slices.DeleteFunc(s.queue, func(req request) bool {
-		left, held := s.guard.Quarantined(req.print, now)
-		if held {
-			placements = append(placements, placement{request: req, retryAfter: left, quarantined: true})
-		}
-		return held
-	})
-	return placements
-}
-
-// recordEvidence records what the result of a request says about crashes of its server.
-func (s *scheduler) recordEvidence(a assignment, r health.Result, now time.Time) {
-	if a.print == (guard.Print{}) {
-		a.print = r.Print
-	}
-	switch r.Kind {
-	case health.OK, health.Failed:
-		s.guard.Answered(s.cell, a.print, now)
-		s.guard.Alive(a.server.name, a.boot, a.since)
-	case health.Unreachable:
-		s.guard.Gone(a.server.name)
-	case health.Torn:
-		s.guard.Torn(s.cell, guard.Suspect{Print: a.print, Workspace: a.workspace}.WithLabel(r.Label), a.server.name, a.boot, a.since, now)
-	}
-}
-
 // withPrint returns the request with its fingerprint, if it may be a copy of a suspect. Others are
 // not held up until their bodies arrive.
 func (b *Balancer) withPrint(ctx context.Context, r pick.Request) pick.Request {
@@ -222,24 +168,6 @@
 	return prints
 }
 
-// sameSuspects reports whether two lists have the same suspects, with the same evidence.
-func sameSuspects(a, b []guard.Suspect) bool {
-	return slices.EqualFunc(a, b, func(a, b guard.Suspect) bool {
-		return a.Print == b.Print && a.Crashes == b.Crashes && a.Quarantines == b.Quarantines && a.Until.Equal(b.Until)
-	})
-}
-
-// inQuarantine returns the suspects that have been put in quarantine.
-func inQuarantine(suspects []guard.Suspect) []guard.Suspect {
-	var list []guard.Suspect
-	for _, s := range suspects {
-		if !s.Until.IsZero() {
-			list = append(list, s)
-		}
-	}
-	return list
-}
-
 func quarantineDetail(pool string, s guard.Suspect, now time.Time) string {
 	return fmt.Sprintf("pool %s, workspace %s, %s, crashed %s, for %s", pool, s.Workspace, s.Label, strings.Join(s.Servers, " "),
 		s.Until.Sub(now).Round(time.Second))
--- a/pool/wire.go
+++ b/pool/wire.go
@@ -5,6 +5,7 @@
 
 	"github.com/dottereldeal/dottereldeal/guard"
 	"github.com/dottereldeal/dottereldeal/health"
+	"github.com/dottereldeal/dottereldeal/sched"
 	"github.com/dottereldeal/dottereldeal/wire"
 )
 
@@ -52,28 +53,28 @@
 	return health.Limit{Stated: health.LimitStatement(m.GetStated()), PerSecond: m.GetPerSecond()}
 }
 
-// wire returns the request as it is sent to the holder of a cell.
-func (req request) wire(cell string, now time.Time) *wire.SlotAsk {
+// requestToWire returns the request as it is sent to the holder of a cell.
+func requestToWire(req sched.Request, cell string, now time.Time) *wire.SlotAsk {
 	return &wire.SlotAsk{
-		Pool: cell, Id: req.id, Idempotent: req.idempotent, Rank: uint32(max(0, req.rank)), Workspace: req.workspace,
-		ObjectiveMicros: uint64(max(0, req.objective.Sub(now)).Microseconds()), DeadlineMicros: uint64(max(0, req.deadline.Sub(now)).Microseconds()),
-		Avoid: req.avoid, Arrived: req.arrived, Bytes: uint64(max(0, req.bytes)), DataCentre: req.dataCentre,
-		Print: req.print.Bytes(), Hedge: req.hedge, Route: req.route,
+		Pool: cell, Id: req.ID, Idempotent: req.Idempotent, Rank: uint32(max(0, req.Rank)), Workspace: req.Workspace,
+		ObjectiveMicros: uint64(max(0, req.Objective.Sub(now)).Microseconds()), DeadlineMicros: uint64(max(0, req.Deadline.Sub(now)).Microseconds()),
+		Avoid: req.Avoid, Arrived: req.Arrived, Bytes: uint64(max(0, req.Bytes)), DataCentre: req.DataCentre,
+		Print: req.Print.Bytes(), Hedge: req.Hedge, Route: req.Route,
 	}
 }
 
 // requestOfWire returns a request that a VM has sent, for itself or, as the holder of another
 // cell, for an entry.
-func requestOfWire(from string, m *wire.SlotAsk, now time.Time) request {
-	req := request{
-		vm: from, id: m.GetId(), dataCentre: m.GetDataCentre(), idempotent: m.GetIdempotent(), rank: int(m.GetRank()),
-		workspace: m.GetWorkspace(), avoid: m.GetAvoid(), arrived: m.GetArrived(), bytes: int64(m.GetBytes()),
-		objective: now.Add(time.Duration(m.GetObjectiveMicros()) * time.Microsecond),
-		deadline:  now.Add(time.Duration(m.GetDeadlineMicros()) * time.Microsecond),
-		print:     guard.PrintOfBytes(m.GetPrint()), hedge: m.GetHedge(), route: m.GetRoute(),
+func requestOfWire(from string, m *wire.SlotAsk, now time.Time) sched.Request {
+	req := sched.Request{
+		VM: from, ID: m.GetId(), DataCentre: m.GetDataCentre(), Idempotent: m.GetIdempotent(), Rank: int(m.GetRank()),
+		Workspace: m.GetWorkspace(), Avoid: m.GetAvoid(), Arrived: m.GetArrived(), Bytes: int64(m.GetBytes()),
+		Objective: now.Add(time.Duration(m.GetObjectiveMicros()) * time.Microsecond),
+		Deadline:  now.Add(time.Duration(m.GetDeadlineMicros()) * time.Microsecond),
+		Print:     guard.PrintOfBytes(m.GetPrint()), Hedge: m.GetHedge(), Route: m.GetRoute(),
 	}
 	if vm := m.GetVm(); vm != "" {
-		req.vm, req.forwarded = vm, true
+		req.VM, req.Forwarded = vm, true
 	}
 	return req
 }
--- a/pool/backlog.go
+++ b/sched/backlog.go
@@ -1,4 +1,4 @@
-package pool
+package sched
 
 import "time"
 
--- a/pool/backlog_test.go
+++ b/sched/backlog_test.go
@@ -1,4 +1,4 @@
-package pool
+package sched
 
 import (
 	"fmt"
@@ -43,20 +43,20 @@
 	var result overloadResult
 	var running []completion
 	now := startTime
-	start := func(placements ...placement) {
+	start := func(placements ...Placement) {
 		for _, p := range placements {
 			switch {
-			case p.target != "":
+			case p.Target != "":
 				end := now.Add(service)
-				running = append(running, completion{at: end, key: p.request.key(), kind: health.OK, latency: service})
-				if end.After(p.request.objective) {
+				running = append(running, completion{at: end, key: p.Request.key(), kind: health.OK, latency: service})
+				if end.After(p.Request.Objective) {
 					result.late++
 				} else {
 					result.inTime++
 				}
-			case !p.queued:
+			case !p.Queued:
 				result.rejected++
-				if now.After(p.request.objective) {
+				if now.After(p.Request.Objective) {
 					result.held++
 				}
 			}
@@ -67,7 +67,7 @@
 		running = finishDue(s, running, now)
 		start(s.placeQueued(view, now)...)
 		elapsed := now.Sub(startTime)
-		if elapsed%Period == 0 {
+		if elapsed%period == 0 {
 			start(s.tick(view, now)...)
 		}
 		factor := l.idle
@@ -79,7 +79,7 @@
 		}
 		id++
 		result.sent++
-		start(s.place(request{vm: "e", id: id, workspace: fmt.Sprint("w", id%5), objective: now.Add(objective), deadline: now.Add(l.deadline)}, view, now))
+		start(s.place(Request{VM: "e", ID: id, Workspace: fmt.Sprint("w", id%5), Objective: now.Add(objective), Deadline: now.Add(l.deadline)}, view, now))
 	}
 	return result
 }
--- a/pool/cold_test.go
+++ b/sched/cold_test.go
@@ -1,4 +1,4 @@
-package pool
+package sched
 
 import (
 	"fmt"
@@ -53,20 +53,20 @@
 		targets = append(targets, fleet.Target{Name: name, Slots: l.slots, Phase: fleet.Warm, Boot: 1})
 	}
 	h := newHolder(startTime)
-	h.setTargets(targets, settings, 0)
+	h.SetTargets(targets, settings, 0)
 	type arrival struct {
 		completion
 		cold bool
 	}
 	var running []arrival
 	now := startTime
-	start := func(p placement) {
-		if p.target == "" {
+	start := func(p Placement) {
+		if p.Target == "" {
 			return
 		}
-		s := servers[p.target]
+		s := servers[p.Target]
 		at := now.Add(within(5 * time.Millisecond))
-		a := arrival{completion: completion{key: p.request.key(), target: p.target, kind: health.OK}}
+		a := arrival{completion: completion{key: p.Request.key(), target: p.Target, kind: health.OK}}
 		a.latency = l.service/2 + within(l.service)
 		if a.cold = !at.Before(s.coldAt) && at.Before(s.coldAt.Add(l.warmUp)); a.cold {
 			s.arrivals = append(s.arrivals, at)
@@ -86,9 +86,9 @@
 			h.scheduler.done(a.key, r, now)
 			report := health.Report{Target: a.target, Cold: r.Cold}
 			report.Stats.Add(r)
-			h.report("e", []health.Report{report}, now)
+			h.Report("e", []health.Report{report}, now)
 			if i := slices.IndexFunc(targets, func(t fleet.Target) bool { return t.Name == a.target }); r.Cold {
-				h.markCold(targets[i], settings)
+				h.MarkCold(targets[i], settings)
 			}
 			return true
 		})
@@ -102,9 +102,9 @@
 			}
 			if !slices.Equal(announced, targets) {
 				targets = announced
-				h.setTargets(targets, settings, 0)
+				h.SetTargets(targets, settings, 0)
 			}
-			h.evaluate(targets, settings, now)
+			h.Evaluate(targets, settings, now)
 			for _, p := range h.scheduler.tick(h.view, now) {
 				start(p)
 			}
@@ -114,11 +114,11 @@
 		}
 		for range int(l.perSecond/1000 + random.Float64()) {
 			id++
-			p := h.scheduler.place(request{
-				vm: "e", id: id, idempotent: random.IntN(2) == 0,
-				objective: now.Add(600 * time.Millisecond), deadline: now.Add(1500 * time.Millisecond),
+			p := h.scheduler.place(Request{
+				VM: "e", ID: id, Idempotent: random.IntN(2) == 0,
+				Objective: now.Add(600 * time.Millisecond), Deadline: now.Add(1500 * time.Millisecond),
 			}, h.view, now)
-			if !p.queued {
+			if !p.Queued {
 				start(p)
 			}
 		}
@@ -159,7 +159,7 @@
 var coldSettings = state.Pool{Name: "p", ColdSlots: 1 << 20, ColdRate: 9, Ramp: state.Duration(3 * time.Second)}
 
 // grants returns how many requests the ramp of a server allows at once.
-func (h *holder) grants(name string, now time.Time) int {
+func (h *Holder) grants(name string, now time.Time) int {
 	n := 0
 	for n < 100 && h.ramps[name] != nil && h.ramps[name].Grant(now) {
 		n++
@@ -176,7 +176,7 @@
 		targets = append(targets, fleet.Target{Name: name, Slots: 40, Phase: fleet.Warm, Boot: 1})
 	}
 	targets[0].Phase = fleet.Cold
-	h.setTargets(targets, coldSettings, 0)
+	h.SetTargets(targets, coldSettings, 0)
 	now := startTime.Add(2 * rateWindow)
 	is.Equal(h.grants("a", now), 9)
 	var ejected []health.Ejection
@@ -190,9 +190,9 @@
 				}
 				report.Stats.Add(r)
 			}
-			h.report("e", []health.Report{report}, now)
+			h.Report("e", []health.Report{report}, now)
 		}
-		_, decision := h.evaluate(targets, coldSettings, now)
+		_, decision := h.Evaluate(targets, coldSettings, now)
 		ejected = append(ejected, decision.Ejected...)
 		is.True(h.ramps["a"] != nil) // it is still cold
 		is.Equal(h.grants("a", now), 0)
@@ -207,12 +207,12 @@
 	is := is.New(t)
 	targets := []fleet.Target{{Name: "a", Slots: 40, Phase: fleet.Warm, Boot: 1}}
 	now := startTime.Add(2 * rateWindow)
-	for _, steps := range [][]func(*holder){
-		{func(h *holder) { h.startProbation("a", targets, coldSettings) }, func(h *holder) { h.markCold(targets[0], coldSettings) }},
-		{func(h *holder) { h.markCold(targets[0], coldSettings) }, func(h *holder) { h.startProbation("a", targets, coldSettings) }},
+	for _, steps := range [][]func(*Holder){
+		{func(h *Holder) { h.startProbation("a", targets, coldSettings) }, func(h *Holder) { h.MarkCold(targets[0], coldSettings) }},
+		{func(h *Holder) { h.MarkCold(targets[0], coldSettings) }, func(h *Holder) { h.startProbation("a", targets, coldSettings) }},
 	} {
 		h := newHolder(startTime)
-		h.setTargets(targets, coldSettings, 0)
+		h.SetTargets(targets, coldSettings, 0)
 		for _, step := range steps {
 			step(h)
 		}
--- a/pool/cost.go
+++ b/sched/cost.go
@@ -1,4 +1,4 @@
-package pool
+package sched
 
 import (
 	"slices"
@@ -9,12 +9,12 @@
 
 // selectServer returns the server with the lowest cost for a request, or nil if none of the
 // candidates has a free slot and is good enough.
-func (s *scheduler) selectServer(req request, candidates []*server, view poolView, now time.Time) *server {
+func (s *scheduler) selectServer(req Request, candidates []*server, view poolView, now time.Time) *server {
 	var best *server
 	bestCost := 0.0
 	from := s.sender(req, now)
 	for _, srv := range candidates {
-		if !srv.hasFreeSlot(now) || slices.Contains(req.avoid, srv.name) || srv.paused(from.entry, now) {
+		if !srv.hasFreeSlot(now) || slices.Contains(req.Avoid, srv.name) || srv.paused(from.entry, now) {
 			continue
 		}
 		cost, usable := s.cost(req, from, srv, view, now)
@@ -36,9 +36,9 @@
 	suspect bool
 }
 
-func (s *scheduler) sender(req request, now time.Time) sender {
+func (s *scheduler) sender(req Request, now time.Time) sender {
 	return sender{
-		moment: s.model.At(now), entry: s.entry(req.vm), impaired: s.paths.entryImpaired(req.vm, now), suspect: s.guard.Suspected(req.print),
+		moment: s.model.At(now), entry: s.entry(req.VM), impaired: s.paths.entryImpaired(req.VM, now), suspect: s.guard.Suspected(req.Print),
 	}
 }
 
@@ -46,7 +46,7 @@
 // costs for load and network. For the first attempt of an idempotent request, the age of
 // the server's last result counts instead of the probability, so that gray failures are
 // discovered by requests that can be retried.
-func (s *scheduler) cost(req request, from sender, srv *server, view poolView, now time.Time) (cost float64, usable bool) {
+func (s *scheduler) cost(req Request, from sender, srv *server, view poolView, now time.Time) (cost float64, usable bool) {
 	gray := from.moment.Probability(srv.estimate)
 	if srv.ejected {
 		gray = max(gray, ejectedGray)
@@ -56,9 +56,9 @@
 		load += suspectCost * float64(srv.inUse) / float64(max(1, srv.slots))
 	}
 	overdue := srv.overdue(now)
-	if !req.idempotent || len(req.avoid) > 0 {
+	if !req.Idempotent || len(req.Avoid) > 0 {
 		// Retries use the safest server instead of an overdue one.
-		if overdue && (view.belowFloor || s.failureShare > overdueFailureShare) && len(req.avoid) == 0 {
+		if overdue && (view.belowFloor || s.failureShare > overdueFailureShare) && len(req.Avoid) == 0 {
 			load -= overdueBonus
 		}
 		return gray + load, gray <= maxGrayNonIdempotent && !srv.rejecting(now) || overdue && view.belowFloor
@@ -86,10 +86,10 @@
 
 // networkCost returns the cost of reaching a server: for another data centre, a connection
 // that is not open yet, or an impaired path.
-func (s *scheduler) networkCost(req request, from sender, srv *server, view poolView, now time.Time) float64 {
+func (s *scheduler) networkCost(req Request, from sender, srv *server, view poolView, now time.Time) float64 {
 	cost := 0.0
-	if srv.dataCentre != req.dataCentre {
-		cost += min(remoteCost+remoteByteCost*float64(req.bytes), maxRemoteCost)
+	if srv.dataCentre != req.DataCentre {
+		cost += min(remoteCost+remoteByteCost*float64(req.Bytes), maxRemoteCost)
 	}
 	if from.impaired && s.paths.serverImpaired(srv.name, now) {
 		cost += impairedPathCost
@@ -110,20 +110,20 @@
 
 // placeRegardless assigns a request that cannot wait to the least doubtful server with a
 // free slot, or rejects it.
-func (s *scheduler) placeRegardless(req request, retryAfter time.Duration, now time.Time) placement {
+func (s *scheduler) placeRegardless(req Request, retryAfter time.Duration, now time.Time) Placement {
 	var best *server
 	lowest := 0.0
-	moment, entry := s.model.At(now), s.entry(req.vm)
+	moment, entry := s.model.At(now), s.entry(req.VM)
 	for _, srv := range s.servers {
-		if !srv.hasFreeSlot(now) || slices.Contains(req.avoid, srv.name) || srv.paused(entry, now) {
+		if !srv.hasFreeSlot(now) || slices.Contains(req.Avoid, srv.name) || srv.paused(entry, now) {
 			continue
 		}
 		if cost := moment.Probability(srv.estimate) + shedCost*srv.shedShare(now); best == nil || cost < lowest {
 			best, lowest = srv, cost
 		}
 	}
-	if best == nil || !now.Before(req.deadline) {
-		return placement{request: req, retryAfter: retryAfter}
+	if best == nil || !now.Before(req.Deadline) {
+		return Placement{Request: req, RetryAfter: retryAfter}
 	}
 	return s.assign(req, best, now)
 }
--- a/pool/cutoff.go
+++ b/sched/cutoff.go
@@ -1,4 +1,4 @@
-package pool
+package sched
 
 import (
 	"slices"
@@ -89,14 +89,3 @@
 		srv.estimate, srv.silent, srv.blames = srv.blames[0].before, false, nil
 	}
 }
-
-// cutOffEntries returns the entries that reach no server by themselves.
-func (b *Balancer) cutOffEntries() []string {
-	var vms []string
-	for _, m := range b.fleet.Members() {
-		if m.CutOff {
-			vms = append(vms, m.VM)
-		}
-	}
-	return vms
-}
--- a/pool/cutoff_test.go
+++ b/sched/cutoff_test.go
@@ -1,4 +1,4 @@
-package pool
+package sched
 
 import (
 	"fmt"
@@ -40,16 +40,16 @@
 	var running []completion
 	var cutOff []string
 	now := startTime
-	start := func(p placement) {
-		if p.target == "" {
-			if !p.queued && !slices.Contains(cutOff, p.request.vm) && now.After(noticedAt) {
+	start := func(p Placement) {
+		if p.Target == "" {
+			if !p.Queued && !slices.Contains(cutOff, p.Request.VM) && now.After(noticedAt) {
 				rejected++
 			}
 			return
 		}
-		c := completion{key: p.request.key(), target: p.target, kind: health.OK, latency: l.service}
+		c := completion{key: p.Request.key(), target: p.Target, kind: health.OK, latency: l.service}
 		var n int
-		fmt.Sscanf(p.request.vm, "e%d", &n)
+		fmt.Sscanf(p.Request.VM, "e%d", &n)
 		if n < l.cutOff && !now.Before(cutAt) && now.Before(noticedAt) {
 			c.kind, c.latency = health.TimedOut, 1200*time.Millisecond
 		}
@@ -73,8 +73,8 @@
 			if now.After(noticedAt) && !slices.Contains(cutOff, vm) {
 				requests++
 			}
-			start(s.place(request{
-				vm: vm, id: id, idempotent: random.Float64() < 0.3, objective: now.Add(600 * time.Millisecond), deadline: now.Add(1500 * time.Millisecond),
+			start(s.place(Request{
+				VM: vm, ID: id, Idempotent: random.Float64() < 0.3, Objective: now.Add(600 * time.Millisecond), Deadline: now.Add(1500 * time.Millisecond),
 			}, view, now))
 		}
 	}
--- a/pool/evidence.go
+++ b/sched/evidence.go
@@ -1,4 +1,4 @@
-package pool
+package sched
 
 import (
 	"time"
@@ -39,7 +39,7 @@
 
 // startedAssignment identifies an assignment that was started at a time.
 type startedAssignment struct {
-	key requestKey
+	key Key
 	at  time.Time
 }
 
@@ -57,7 +57,7 @@
 }
 
 // started records an assignment.
-func (e *evidence) started(key requestKey, now time.Time) {
+func (e *evidence) started(key Key, now time.Time) {
 	e.early = append(e.early, startedAssignment{key, now})
 	e.overdue = append(e.overdue, startedAssignment{key, now})
 }
@@ -99,17 +99,17 @@
 	limit := time.Duration(overdueFactor * float64(s.serviceTime))
 	for _, d := range take(&s.evidence.overdue, now.Add(-limit)) {
 		a, running := s.assignments[d.key]
-		if !running || !a.since.Equal(d.at) || s.paths.answeredOther(d.key.vm, a.server.name, a.since) ||
-			s.cutOff.preceded(d.key.vm, a.since) {
+		if !running || !a.since.Equal(d.at) || s.paths.answeredOther(d.key.VM, a.server.name, a.since) ||
+			s.cutOff.preceded(d.key.VM, a.since) {
 			continue
 		}
 		first := a.server.overdueRequest
-		if first.vm == "" || first.vm == d.key.vm || s.paths.answeredOther("", a.server.name, first.at) {
+		if first.vm == "" || first.vm == d.key.VM || s.paths.answeredOther("", a.server.name, first.at) {
 			// One entry may have lost its path to the server.
-			a.server.overdueRequest = overdueRequest{d.key.vm, d.at}
+			a.server.overdueRequest = overdueRequest{d.key.VM, d.at}
 			continue
 		}
 		a.server.silent = true
-		s.blame(a.server, d.key.vm, now)
+		s.blame(a.server, d.key.VM, now)
 	}
 }
--- a/pool/evidence_test.go
+++ b/sched/evidence_test.go
@@ -1,4 +1,4 @@
-package pool
+package sched
 
 import (
 	"fmt"
@@ -57,9 +57,9 @@
 	now := startTime
 	for id := range uint64(400) {
 		now = now.Add(10 * time.Millisecond)
-		req := request{vm: fmt.Sprint("e", id%7), id: id, objective: now.Add(time.Second), deadline: now.Add(4 * time.Second)}
+		req := Request{VM: fmt.Sprint("e", id%7), ID: id, Objective: now.Add(time.Second), Deadline: now.Add(4 * time.Second)}
 		r := s.place(req, view, now)
-		if r.target == "a" {
+		if r.Target == "a" {
 			hung++
 			continue
 		}
--- a/pool/holder.go
+++ b/sched/holder.go
@@ -1,4 +1,4 @@
-package pool
+package sched
 
 import (
 	"maps"
@@ -12,9 +12,9 @@
 	"github.com/dottereldeal/dottereldeal/state"
 )
 
-// holder is the state of a pool whose lease this VM holds. It detects failing backend
+// Holder is the state of a pool whose lease this VM holds. It detects failing backend
 // servers from the reports of all entries, and issues permits for cold ones.
-type holder struct {
+type Holder struct {
 	since    time.Time
 	detector *health.Detector
 	// ramps holds the ramp of every cold or readmitted backend server.
@@ -27,68 +27,68 @@
 	// view is the scheduler's view of the pool.
 	view poolView
 	// published is the status that was last gossiped, at publishedAt.
-	published   status
+	published   Status
 	publishedAt time.Time
 	// loadSentAt is when the load of the cell was last sent to the holders of others.
 	loadSentAt time.Time
 }
 
-// status is the state of a pool that its holder publishes to all entries: the ejected
+// Status is the state of a pool that its holder publishes to all entries: the ejected
 // targets, most severe first, and the targets for which a request needs a permit.
-type status struct {
-	ejected []string
-	cold    []string
-	// warmed holds targets that are warm in the given boot, even if they announce that
+type Status struct {
+	Ejected []string
+	Cold    []string
+	// Warmed holds targets that are warm in the given boot, even if they announce that
 	// they are cold.
-	warmed map[string]uint64
-	// limits holds the requests per second of the targets that name a limit.
-	limits map[string]float64
-	// suspects may crash the targets that run them; cleared are suspects of other cells that
+	Warmed map[string]uint64
+	// Limits holds the requests per second of the targets that name a limit.
+	Limits map[string]float64
+	// Suspects may crash the targets that run them; Cleared are suspects of other cells that
 	// were answered here.
-	suspects []guard.Suspect
-	cleared  []guard.Print
-	// leaving are the targets that have said in answers that they leave.
-	leaving leavingServers
+	Suspects []guard.Suspect
+	Cleared  []guard.Print
+	// Leaving are the targets that have said in answers that they leave.
+	Leaving map[string]uint64
 }
 
-func (s status) equal(other status) bool {
-	return slices.Equal(s.ejected, other.ejected) && slices.Equal(s.cold, other.cold) && maps.Equal(s.warmed, other.warmed) &&
-		maps.Equal(s.limits, other.limits) && sameSuspects(s.suspects, other.suspects) &&
-		slices.Equal(s.cleared, other.cleared) && maps.Equal(s.leaving, other.leaving)
+func (s Status) equal(other Status) bool {
+	return slices.Equal(s.Ejected, other.Ejected) && slices.Equal(s.Cold, other.Cold) && maps.Equal(s.Warmed, other.Warmed) &&
+		maps.Equal(s.Limits, other.Limits) && sameSuspects(s.Suspects, other.Suspects) &&
+		slices.Equal(s.Cleared, other.Cleared) && maps.Equal(s.Leaving, other.Leaving)
 }
 
 // sameLimited reports whether the same targets name a limit.
-func (s status) sameLimited(other status) bool {
-	return slices.Equal(slices.Sorted(maps.Keys(s.limits)), slices.Sorted(maps.Keys(other.limits)))
+func (s Status) sameLimited(other Status) bool {
+	return slices.Equal(slices.Sorted(maps.Keys(s.Limits)), slices.Sorted(maps.Keys(other.Limits)))
 }
 
 // withLimits returns a copy of the status with other limits.
-func (s status) withLimits(limits map[string]float64) status {
-	s.limits = limits
+func (s Status) withLimits(limits map[string]float64) Status {
+	s.Limits = limits
 	return s
 }
 
 // withSuspects returns a copy of the status with other suspects.
-func (s status) withSuspects(suspects []guard.Suspect) status {
-	s.suspects = suspects
+func (s Status) withSuspects(suspects []guard.Suspect) Status {
+	s.Suspects = suspects
 	return s
 }
 
 // withEjected returns a copy of the status with other ejected servers.
-func (s status) withEjected(names []string) status {
-	s.ejected = names
+func (s Status) withEjected(names []string) Status {
+	s.Ejected = names
 	return s
 }
 
-func newHolder(since time.Time, budget ...retry.Option) *holder {
-	return &holder{
+func newHolder(since time.Time, budget ...retry.Option) *Holder {
+	return &Holder{
 		since: since, detector: health.NewDetector(), scheduler: newScheduler(budget...),
 		ramps: make(map[string]*Ramp), warmed: make(map[string]uint64),
 	}
 }
 
-// setTargets replaces the servers of the pool.
-func (h *holder) setTargets(targets []fleet.Target, settings state.Pool, idleTimeout time.Duration) {
+// SetTargets replaces the servers of the pool.
+func (h *Holder) SetTargets(targets []fleet.Target, settings state.Pool, idleTimeout time.Duration) {
 	for _, t := range targets {
 		h.startColdRamp(t, settings)
 	}
@@ -97,7 +97,7 @@
 }
 
 // refreshView passes changed ejections and ramps to the scheduler.
-func (h *holder) refreshView() {
+func (h *Holder) refreshView() {
 	h.view.ejected = nil
 	for _, e := range h.detector.Ejected() {
 		h.view.ejected = append(h.view.ejected, e.Target)
@@ -111,26 +111,26 @@
 // or, if entries do not choose by themselves, of changed ejections alone.
 const publishInterval = 3 * time.Second
 
-// publishDue reports whether to gossip the status of the cell, and if so takes it as
+// PublishDue reports whether to gossip the status of the cell, and if so takes it as
 // published. Every entry must know at once which servers are cold or name a limit. Ejections
-// matter only to entries that choose by themselves.
-func (h *holder) publishDue(next status, mode PlacementMode, now time.Time) bool {
+// matter only to entries that choose by themselves, as localChoices says.
+func (h *Holder) PublishDue(next Status, localChoices bool, now time.Time) bool {
 	if next.equal(h.published) {
 		return false
 	}
 	urgent := next
-	if mode == PlacementHolder {
-		urgent = urgent.withEjected(h.published.ejected)
+	if !localChoices {
+		urgent = urgent.withEjected(h.published.Ejected)
 	}
 	if next.sameLimited(h.published) {
-		urgent = urgent.withLimits(h.published.limits)
+		urgent = urgent.withLimits(h.published.Limits)
 	}
 	interval := publishInterval
-	if sameSuspects(inQuarantine(next.suspects), inQuarantine(h.published.suspects)) {
-		if !sameSuspects(next.suspects, h.published.suspects) {
+	if sameSuspects(inQuarantine(next.Suspects), inQuarantine(h.published.Suspects)) {
+		if !sameSuspects(next.Suspects, h.published.Suspects) {
 			interval = suspectsInterval
 		}
-		urgent = urgent.withSuspects(h.published.suspects)
+		urgent = urgent.withSuspects(h.published.Suspects)
 	}
 	if urgent.equal(h.published) && now.Sub(h.publishedAt) < interval {
 		return false
@@ -141,18 +141,18 @@
 
 // permitsFrom returns the time from which this holder may issue permits. All permits
 // of the previous holder have expired by then.
-func (h *holder) permitsFrom() time.Time { return h.since.Add(maxPermitUse) }
+func (h *Holder) permitsFrom() time.Time { return h.since.Add(maxPermitUse) }
 
-// report adds the observations of one entry.
-func (h *holder) report(vm string, reports []health.Report, now time.Time) {
+// Report adds the observations of one entry.
+func (h *Holder) Report(vm string, reports []health.Report, now time.Time) {
 	for _, r := range reports {
 		h.detector.AddReport(vm, r, now)
 		h.scheduler.reportLimit(r.Target, r.Limit, now)
 	}
 }
 
-// evaluate updates ramps and ejections. It returns the new status and the changes.
-func (h *holder) evaluate(targets []fleet.Target, settings state.Pool, now time.Time) (status, health.Decision) {
+// Evaluate updates ramps and ejections. It returns the new status and the changes.
+func (h *Holder) Evaluate(targets []fleet.Target, settings state.Pool, now time.Time) (Status, health.Decision) {
 	names := make([]string, len(targets))
 	boots := make(map[string]uint64, len(targets))
 	for i, t := range targets {
@@ -191,7 +191,7 @@
 }
 
 // startColdRamp starts the ramp of a backend server that announces that it is cold.
-func (h *holder) startColdRamp(t fleet.Target, settings state.Pool) {
+func (h *Holder) startColdRamp(t fleet.Target, settings state.Pool) {
 	boot, warmed := h.warmed[t.Name]
 	if warmed && boot != t.Boot {
 		delete(h.warmed, t.Name)
@@ -203,14 +203,14 @@
 }
 
 // isCold reports whether a server has the ramp of a cold one.
-func (h *holder) isCold(name string) bool {
+func (h *Holder) isCold(name string) bool {
 	r, ramping := h.ramps[name]
 	return ramping && !r.probation
 }
 
 // newRamp returns the ramp of a cold server. The previous holder may have used the rate of
 // the server until the last moment, and this one may have sent it requests as to a warm server.
-func (h *holder) newRamp(t fleet.Target, settings state.Pool) *Ramp {
+func (h *Holder) newRamp(t fleet.Target, settings state.Pool) *Ramp {
 	r := NewRamp(t.Slots, max(1, settings.ColdSlots), time.Duration(settings.Ramp)).WithRate(settings.ColdRate).WithStart(h.since.Add(rateWindow))
 	if srv := h.scheduler.byName[t.Name]; srv != nil {
 		r = r.WithRecent(srv.recent)
@@ -222,7 +222,7 @@
 // cold, so it only needs to be observed before it receives its full share again.
 const probationRamp = 3 * time.Second
 
-func (h *holder) startProbation(name string, targets []fleet.Target, settings state.Pool) {
+func (h *Holder) startProbation(name string, targets []fleet.Target, settings state.Pool) {
 	for _, t := range targets {
 		if t.Name == name && t.Phase == fleet.Warm && !h.isCold(name) {
 			r := NewRamp(t.Slots, max(1, settings.ColdSlots), min(time.Duration(settings.Ramp), probationRamp))
@@ -234,7 +234,7 @@
 
 // probationCount returns the number of backend servers that are ramping although they
 // announce that they are warm.
-func (h *holder) probationCount(targets []fleet.Target) int {
+func (h *Holder) probationCount(targets []fleet.Target) int {
 	n := 0
 	for _, t := range targets {
 		if _, ramping := h.ramps[t.Name]; ramping && t.Phase == fleet.Warm {
@@ -244,22 +244,22 @@
 	return n
 }
 
-func (h *holder) status(now time.Time) status {
-	s := status{warmed: maps.Clone(h.warmed), limits: h.scheduler.limits()}
+func (h *Holder) status(now time.Time) Status {
+	s := Status{Warmed: maps.Clone(h.warmed), Limits: h.scheduler.limits()}
 	for _, e := range h.detector.Ejected() {
-		s.ejected = append(s.ejected, e.Target)
+		s.Ejected = append(s.Ejected, e.Target)
 	}
 	for name := range h.ramps {
-		s.cold = append(s.cold, name)
+		s.Cold = append(s.Cold, name)
 	}
-	slices.Sort(s.cold)
-	s.suspects, s.cleared = h.scheduler.guard.List(h.scheduler.cell, now)
+	slices.Sort(s.Cold)
+	s.Suspects, s.Cleared = h.scheduler.guard.List(h.scheduler.cell, now)
 	return s
 }
 
-// markCold starts the ramp of a backend server whose answer to an entry said that it
+// MarkCold starts the ramp of a backend server whose answer to an entry said that it
 // is cold.
-func (h *holder) markCold(t fleet.Target, settings state.Pool) {
+func (h *Holder) MarkCold(t fleet.Target, settings state.Pool) {
 	delete(h.warmed, t.Name)
 	if !h.isCold(t.Name) {
 		h.ramps[t.Name] = h.newRamp(t, settings)
@@ -267,8 +267,8 @@
 	}
 }
 
-// permit issues a permit for the cold backend server with the most free permits.
-func (h *holder) permit(now time.Time) (string, bool) {
+// Permit issues a permit for the cold backend server with the most free permits.
+func (h *Holder) Permit(now time.Time) (string, bool) {
 	if now.Before(h.permitsFrom()) {
 		return "", false
 	}
@@ -286,15 +286,15 @@
 	return best, true
 }
 
-// done returns the permit of a request that has a result.
-func (h *holder) done(target string, success bool, now time.Time) {
+// PermitDone returns the permit of a request that has a result.
+func (h *Holder) PermitDone(target string, success bool, now time.Time) {
 	if r, ok := h.ramps[target]; ok {
 		r.Done(success, now)
 	}
 }
 
-// returnPermit returns a permit that led to no result.
-func (h *holder) returnPermit(target string) {
+// ReturnPermit returns a permit that led to no result.
+func (h *Holder) ReturnPermit(target string) {
 	if r, ok := h.ramps[target]; ok {
 		r.Return()
 	}
--- a/pool/overflow.go
+++ b/sched/overflow.go
@@ -1,4 +1,4 @@
-package pool
+package sched
 
 import (
 	"maps"
@@ -14,21 +14,21 @@
 	loadTTL      = time.Second
 )
 
-// cellLoad is the load of another cell of the pool.
-type cellLoad struct {
-	// vm holds the cell.
-	vm string
-	// freeSlots are the free slots of servers that are likely to work, less the requests that
+// CellLoad is the load of another cell of the pool.
+type CellLoad struct {
+	// VM holds the cell.
+	VM string
+	// FreeSlots are the free slots of servers that are likely to work, less the requests that
 	// were sent there since.
-	freeSlots int
-	// wait is the time that a request would wait for a slot.
-	wait       time.Duration
-	reportedAt time.Time
+	FreeSlots int
+	// Wait is the time that a request would wait for a slot.
+	Wait       time.Duration
+	ReportedAt time.Time
 }
 
-// destination is another cell that a request is left to, with its holder.
-type destination struct {
-	cell, vm string
+// Destination is another cell that a request is left to, with its holder.
+type Destination struct {
+	Cell, VM string
 }
 
 // overflow finds the cell that can serve a request which its own cell cannot serve at once.
@@ -37,48 +37,48 @@
 // centre loses its servers, or a pool is as good as full. A slot that is free in any cell must
 // not stay idle while a request waits in another.
 type overflow struct {
-	cells map[string]cellLoad
+	cells map[string]CellLoad
 	// random chooses among several cells. Many holders that all chose the one with the most
 	// free slots would fill it at once.
 	random func(n int) int
 }
 
 func newOverflow() *overflow {
-	return &overflow{cells: make(map[string]cellLoad), random: rand.IntN}
+	return &overflow{cells: make(map[string]CellLoad), random: rand.IntN}
 }
 
 // report records the load of a cell.
-func (o *overflow) report(cell string, load cellLoad) { o.cells[cell] = load }
+func (o *overflow) report(cell string, load CellLoad) { o.cells[cell] = load }
 
 // withFreeSlot returns a cell with a free slot, by chance in proportion to them, and counts
 // the request that is sent there.
-func (o *overflow) withFreeSlot(now time.Time) (to destination, ok bool) {
+func (o *overflow) withFreeSlot(now time.Time) (to Destination, ok bool) {
 	total := 0
 	names := o.current(now)
 	for _, name := range names {
-		total += max(0, o.cells[name].freeSlots)
+		total += max(0, o.cells[name].FreeSlots)
 	}
 	if total == 0 {
-		return destination{}, false
+		return Destination{}, false
 	}
 	at := o.random(total)
 	for _, name := range names {
 		load := o.cells[name]
-		if at -= max(0, load.freeSlots); at < 0 {
-			load.freeSlots--
+		if at -= max(0, load.FreeSlots); at < 0 {
+			load.FreeSlots--
 			o.cells[name] = load
-			return destination{name, load.vm}, true
+			return Destination{name, load.VM}, true
 		}
 	}
-	return destination{}, false
+	return Destination{}, false
 }
 
 // withShortestWait returns the cell in which a request waits for the shortest time, if that
 // is below the limit.
-func (o *overflow) withShortestWait(limit time.Duration, now time.Time) (to destination, ok bool) {
+func (o *overflow) withShortestWait(limit time.Duration, now time.Time) (to Destination, ok bool) {
 	for _, name := range o.current(now) {
-		if load := o.cells[name]; load.wait < limit {
-			to, limit, ok = destination{name, load.vm}, load.wait, true
+		if load := o.cells[name]; load.Wait < limit {
+			to, limit, ok = Destination{name, load.VM}, load.Wait, true
 		}
 	}
 	return to, ok
@@ -89,6 +89,6 @@
 	if len(o.cells) == 0 {
 		return nil
 	}
-	maps.DeleteFunc(o.cells, func(_ string, load cellLoad) bool { return now.Sub(load.reportedAt) > loadTTL })
+	maps.DeleteFunc(o.cells, func(_ string, load CellLoad) bool { return now.Sub(load.ReportedAt) > loadTTL })
 	return slices.Sorted(maps.Keys(o.cells))
 }
--- a/pool/paths_test.go
+++ b/sched/paths_test.go
@@ -1,4 +1,4 @@
-package pool
+package sched
 
 import (
 	"fmt"
@@ -43,18 +43,18 @@
 			}
 			id++
 			vm := fmt.Sprint("e", random.IntN(44))
-			req := request{
-				vm: vm, dataCentre: fmt.Sprint(random.IntN(3)), id: id, bytes: 4000, idempotent: random.Float64() < 0.24,
-				objective: now.Add(600 * time.Millisecond), deadline: now.Add(1500 * time.Millisecond),
+			req := Request{
+				VM: vm, DataCentre: fmt.Sprint(random.IntN(3)), ID: id, Bytes: 4000, Idempotent: random.Float64() < 0.24,
+				Objective: now.Add(600 * time.Millisecond), Deadline: now.Add(1500 * time.Millisecond),
 			}
 			r := s.place(req, view, now)
-			if r.target == "" {
+			if r.Target == "" {
 				continue
 			}
-			e := completion{key: req.key(), target: r.target, kind: health.OK, latency: 150 * time.Millisecond}
-			if unreachable(vm, r.target, now) {
+			e := completion{key: req.key(), target: r.Target, kind: health.OK, latency: 150 * time.Millisecond}
+			if unreachable(vm, r.Target, now) {
 				e.kind, e.latency = health.TimedOut, 1500*time.Millisecond
-				if req.idempotent {
+				if req.Idempotent {
 					e.kind, e.latency = health.Late, 500*time.Millisecond
 				}
 			}
--- a/pool/queue.go
+++ b/sched/queue.go
@@ -1,4 +1,4 @@
-package pool
+package sched
 
 import (
 	"math/rand/v2"
@@ -19,12 +19,12 @@
 
 // queueWait estimates how long a request would wait in the queue, and reports whether it
 // could still be answered before its deadline.
-func (s *scheduler) queueWait(req request, now time.Time) (time.Duration, bool) {
+func (s *scheduler) queueWait(req Request, now time.Time) (time.Duration, bool) {
 	served := s.servedPerSecond(now)
 	ahead, late := 1, 0
 	for _, other := range s.queue {
 		switch {
-		case other.rank > req.rank:
+		case other.Rank > req.Rank:
 		case s.inTime(other, now):
 			ahead++
 		default:
@@ -32,11 +32,11 @@
 		}
 	}
 	wait := s.backlog.wait(ahead, served, true)
-	if now.Add(wait + s.serviceTime).After(req.objective) {
+	if now.Add(wait + s.serviceTime).After(req.Objective) {
 		// It will lose its place to requests that can still meet their objective.
 		wait = s.backlog.wait(ahead+late, served, false)
 	}
-	possible := len(s.servers) > 0 && len(s.queue) < maxQueue && now.Add(wait+s.serviceTime).Before(req.deadline)
+	possible := len(s.servers) > 0 && len(s.queue) < maxQueue && now.Add(wait+s.serviceTime).Before(req.Deadline)
 	return wait, possible
 }
 
@@ -56,12 +56,12 @@
 }
 
 // inTime reports whether a request that gets a slot now can meet its objective.
-func (s *scheduler) inTime(req request, now time.Time) bool {
-	return now.Add(s.serviceTime).Before(req.objective)
+func (s *scheduler) inTime(req Request, now time.Time) bool {
+	return now.Add(s.serviceTime).Before(req.Objective)
 }
 
 // rejectHopeless removes the queued requests that will not get a slot before it is too late.
-func (s *scheduler) rejectHopeless(now time.Time) []placement {
+func (s *scheduler) rejectHopeless(now time.Time) []Placement {
 	s.backlog.advance(now)
 	if len(s.queue) == 0 {
 		return nil
@@ -73,18 +73,18 @@
 			inTime++
 		}
 	}
-	var placements []placement
-	s.queue = slices.DeleteFunc(s.queue, func(req request) bool {
+	var placements []Placement
+	s.queue = slices.DeleteFunc(s.queue, func(req Request) bool {
 		if s.inTime(req, now) {
 			return false
 		}
 		late++
 		wait := s.backlog.wait(inTime+late, served, false)
-		if now.Add(wait + s.serviceTime).Before(req.deadline) {
+		if now.Add(wait + s.serviceTime).Before(req.Deadline) {
 			return false
 		}
 		late--
-		placements = append(placements, placement{request: req, retryAfter: s.retryAfter(inTime, served)})
+		placements = append(placements, Placement{Request: req, RetryAfter: s.retryAfter(inTime, served)})
 		return true
 	})
 	return placements
@@ -98,12 +98,12 @@
 }
 
 // moveQueued leaves queued requests to cells that have free slots, the most urgent first.
-func (s *scheduler) moveQueued(now time.Time) []placement {
-	var placements []placement
+func (s *scheduler) moveQueued(now time.Time) []Placement {
+	var placements []Placement
 	for {
 		best := -1
 		for i, req := range s.queue {
-			if !req.forwarded && !s.mustWait(req) && (best < 0 || s.precedes(req, s.queue[best], now)) {
+			if !req.Forwarded && !s.mustWait(req) && (best < 0 || s.precedes(req, s.queue[best], now)) {
 				best = i
 			}
 		}
@@ -114,30 +114,30 @@
 		if !ok {
 			return placements
 		}
-		placements = append(placements, placement{request: s.queue[best], forward: to})
+		placements = append(placements, Placement{Request: s.queue[best], Forward: to})
 		s.queue = slices.Delete(s.queue, best, best+1)
 	}
 }
 
 // placeQueued assigns queued requests to free slots. Requests that can no longer be
 // answered in time are sent to any server or rejected, and all are if no server is left.
-func (s *scheduler) placeQueued(view poolView, now time.Time) []placement {
+func (s *scheduler) placeQueued(view poolView, now time.Time) []Placement {
 	if len(s.queue) == 0 {
 		return nil
 	}
 	s.sync(view, now)
 	placements := s.rejectQuarantined(now)
-	s.queue = slices.DeleteFunc(s.queue, func(req request) bool {
-		late := now.Add(s.serviceTime).After(req.deadline)
+	s.queue = slices.DeleteFunc(s.queue, func(req Request) bool {
+		late := now.Add(s.serviceTime).After(req.Deadline)
 		if !late && len(s.servers) > 0 {
 			return false
 		}
 		if s.mustWait(req) {
-			placements = append(placements, placement{request: req, retryAfter: minRetryAfter})
+			placements = append(placements, Placement{Request: req, RetryAfter: minRetryAfter})
 			return true
 		}
 		if to, ok := s.otherCell(req, true, now); ok {
-			placements = append(placements, placement{request: req, forward: to})
+			placements = append(placements, Placement{Request: req, Forward: to})
 		} else {
 			placements = append(placements, s.placeRegardless(req, s.retryAfter(0, s.servedPerSecond(now)), now))
 		}
@@ -189,12 +189,12 @@
 }
 
 // precedes reports whether request a is placed before b, which arrived earlier.
-func (s *scheduler) precedes(a, b request, now time.Time) bool {
-	if a.rank != b.rank {
-		return a.rank < b.rank
+func (s *scheduler) precedes(a, b Request, now time.Time) bool {
+	if a.Rank != b.Rank {
+		return a.Rank < b.Rank
 	}
 	if s.inTime(a, now) != s.inTime(b, now) {
 		return s.inTime(a, now)
 	}
-	return s.running[a.workspace] < s.running[b.workspace]
+	return s.running[a.Workspace] < s.running[b.Workspace]
 }
--- a/pool/ramp.go
+++ b/sched/ramp.go
@@ -1,4 +1,4 @@
-package pool
+package sched
 
 import (
 	"slices"
@@ -9,8 +9,8 @@
 	// maxPermitUse is the longest time that a permit can be in use. A permit that is not
 	// returned counts as in use for that long.
 	maxPermitUse = 15 * time.Second
-	// permitLifetime is the time within which a permit must be used.
-	permitLifetime = time.Second
+	// PermitLifetime is the time within which a permit must be used.
+	PermitLifetime = time.Second
 )
 
 // Ramp limits the concurrent requests of all entries to a cold backend server. From the
--- a/pool/scheduler.go
+++ b/sched/scheduler.go
@@ -1,4 +1,4 @@
-package pool
+package sched
 
 import (
 	"slices"
@@ -63,39 +63,39 @@
 	serviceTimeWeight = 0.05
 )
 
-// request is a request that needs a backend server.
-type request struct {
-	vm         string
-	id         uint64
-	dataCentre string
-	idempotent bool
-	rank       int
-	workspace  string
-	route      string
-	// objective is the time from which the answer loses value, deadline the time from which
+// Request is a request that needs a backend server.
+type Request struct {
+	VM         string
+	ID         uint64
+	DataCentre string
+	Idempotent bool
+	Rank       int
+	Workspace  string
+	Route      string
+	// Objective is the time from which the answer loses value, Deadline the time from which
 	// it has none.
-	objective time.Time
-	deadline  time.Time
-	avoid     []string
-	// arrived is set if an earlier attempt reached a server.
-	arrived bool
-	// bytes is the size of the request body.
-	bytes int64
-	// forwarded is set if the holder of another cell has passed the request on. It is not
+	Objective time.Time
+	Deadline  time.Time
+	Avoid     []string
+	// Arrived is set if an earlier attempt reached a server.
+	Arrived bool
+	// Bytes is the size of the request body.
+	Bytes int64
+	// Forwarded is set if the holder of another cell has passed the request on. It is not
 	// passed on again.
-	forwarded bool
-	print     guard.Print
-	// hedge is set if another attempt of the request is running.
-	hedge bool
+	Forwarded bool
+	Print     guard.Print
+	// Hedge is set if another attempt of the request is running.
+	Hedge bool
 }
 
-// requestKey identifies a request in the fleet.
-type requestKey struct {
-	vm string
-	id uint64
+// Key identifies a request in the fleet.
+type Key struct {
+	VM string
+	ID uint64
 }
 
-func (req request) key() requestKey { return requestKey{req.vm, req.id} }
+func (req Request) key() Key { return Key{req.VM, req.ID} }
 
 // assignment is a slot in use.
 type assignment struct {
@@ -113,16 +113,16 @@
 	seen float64
 }
 
-// placement is the scheduler's decision on a request: it is assigned to a target, queued,
+// Placement is the scheduler's decision on a request: it is assigned to a target, queued,
 // left to another cell, or rejected with a retry delay, which is the rest of its quarantine if
 // it is in one.
-type placement struct {
-	request     request
-	target      string
-	queued      bool
-	forward     destination
-	retryAfter  time.Duration
-	quarantined bool
+type Placement struct {
+	Request     Request
+	Target      string
+	Queued      bool
+	Forward     Destination
+	RetryAfter  time.Duration
+	Quarantined bool
 }
 
 // scheduler assigns the requests of a pool to its backend servers. It tracks every slot in
@@ -142,8 +142,8 @@
 	byName      map[string]*server
 	synced      []fleet.Target
 	entries     map[string]int // positions of the entries in server.contacts
-	assignments map[requestKey]assignment
-	queue       []request
+	assignments map[Key]assignment
+	queue       []Request
 	running     map[string]int // assignments by workspace
 	serviceTime time.Duration
 	// failureShare is the share of the most recent requests that failed.
@@ -169,7 +169,7 @@
 func newScheduler(budget ...retry.Option) *scheduler {
 	return &scheduler{
 		model: health.NewModel(), byName: make(map[string]*server), entries: make(map[string]int),
-		assignments: make(map[requestKey]assignment), paths: newPaths(),
+		assignments: make(map[Key]assignment), paths: newPaths(),
 		running: make(map[string]int), serviceTime: initialServiceTime, evidence: newEvidence(), overflow: newOverflow(),
 		budget: retry.NewBudget(budget...), guard: guard.New(), copies: make(map[guard.Print]int),
 	}
@@ -192,18 +192,18 @@
 }
 
 // place assigns, queues or rejects a request.
-func (s *scheduler) place(req request, view poolView, now time.Time) placement {
+func (s *scheduler) place(req Request, view poolView, now time.Time) Placement {
 	s.sync(view, now)
 	s.observeRunning(now)
-	if left, held := s.guard.Quarantined(req.print, now); held {
-		return placement{request: req, retryAfter: left, quarantined: true}
+	if left, held := s.guard.Quarantined(req.Print, now); held {
+		return Placement{Request: req, RetryAfter: left, Quarantined: true}
 	}
-	if !req.arrived && !req.forwarded {
+	if !req.Arrived && !req.Forwarded {
 		s.budget.Deposit()
 	}
 	s.backlog.arrived(now)
-	if req.arrived && !req.forwarded && !s.budget.Withdraw() {
-		return placement{request: req, retryAfter: minRetryAfter}
+	if req.Arrived && !req.Forwarded && !s.budget.Withdraw() {
+		return Placement{Request: req, RetryAfter: minRetryAfter}
 	}
 	view.belowFloor = s.belowFloor(view, now)
 	if s.mustWait(req) {
@@ -213,31 +213,31 @@
 		return s.assign(req, srv, now)
 	}
 	_, possible := s.queueWait(req, now)
-	pause, paused := s.allPaused(req.vm, now)
+	pause, paused := s.allPaused(req.VM, now)
 	possible = possible && !paused
 	if to, ok := s.otherCell(req, possible, now); ok {
-		return placement{request: req, forward: to}
+		return Placement{Request: req, Forward: to}
 	}
 	if paused {
-		return placement{request: req, retryAfter: min(max(pause, minRetryAfter), maxRetryAfter)}
+		return Placement{Request: req, RetryAfter: min(max(pause, minRetryAfter), maxRetryAfter)}
 	}
 	if !possible {
 		return s.placeRegardless(req, s.retryAfter(len(s.queue), s.servedPerSecond(now)), now)
 	}
 	s.queue = append(s.queue, req)
-	return placement{request: req, queued: true}
+	return Placement{Request: req, Queued: true}
 }
 
 // otherCell returns the cell that a request should be left to because it cannot be assigned
 // here: one with a free slot or, if the request cannot wait here, one where it can.
-func (s *scheduler) otherCell(req request, canWait bool, now time.Time) (destination, bool) {
-	if req.forwarded {
-		return destination{}, false
+func (s *scheduler) otherCell(req Request, canWait bool, now time.Time) (Destination, bool) {
+	if req.Forwarded {
+		return Destination{}, false
 	}
 	if to, ok := s.overflow.withFreeSlot(now); ok || canWait {
 		return to, ok
 	}
-	return s.overflow.withShortestWait(req.deadline.Sub(now)-s.serviceTime, now)
+	return s.overflow.withShortestWait(req.Deadline.Sub(now)-s.serviceTime, now)
 }
 
 // load returns the free slots of the servers that are likely to work, and the time that a
@@ -251,13 +251,13 @@
 		}
 	}
 	freeSlots = max(0, freeSlots-len(s.queue))
-	wait, _ = s.queueWait(request{objective: now.Add(hopelessWait), deadline: now.Add(2 * hopelessWait)}, now)
+	wait, _ = s.queueWait(Request{Objective: now.Add(hopelessWait), Deadline: now.Add(2 * hopelessWait)}, now)
 	return freeSlots, wait
 }
 
 // assign takes a slot for a request.
-func (s *scheduler) assign(req request, srv *server, now time.Time) placement {
-	a := assignment{final: !req.idempotent || req.arrived, server: srv, workspace: req.workspace, print: req.print, boot: srv.boot, since: now, until: req.deadline.Add(abandonedAfter)}
+func (s *scheduler) assign(req Request, srv *server, now time.Time) Placement {
+	a := assignment{final: !req.Idempotent || req.Arrived, server: srv, workspace: req.Workspace, print: req.Print, boot: srv.boot, since: now, until: req.Deadline.Add(abandonedAfter)}
 	if srv.ramp != nil {
 		a.ramping = true
 		srv.ramp.Grant(now)
@@ -271,29 +271,29 @@
 	srv.inUse++
 	s.assignments[req.key()] = a
 	s.evidence.started(req.key(), now)
-	s.running[req.workspace]++
-	if req.print != (guard.Print{}) {
-		s.copies[req.print]++
+	s.running[req.Workspace]++
+	if req.Print != (guard.Print{}) {
+		s.copies[req.Print]++
 	}
-	return placement{request: req, target: srv.name}
+	return Placement{Request: req, Target: srv.name}
 }
 
 // done frees the slot of a request and returns its server, or removes the request from the
 // queue. An empty kind means that the request was not sent.
-func (s *scheduler) done(key requestKey, r health.Result, now time.Time) (target string, assigned bool) {
+func (s *scheduler) done(key Key, r health.Result, now time.Time) (target string, assigned bool) {
 	a, assigned := s.assignments[key]
 	if !assigned {
-		s.queue = slices.DeleteFunc(s.queue, func(req request) bool { return req.key() == key })
+		s.queue = slices.DeleteFunc(s.queue, func(req Request) bool { return req.key() == key })
 		return "", false
 	}
 	s.release(key, a)
-	s.recordPause(key.vm, a.server, r, now)
+	s.recordPause(key.VM, a.server, r, now)
 	a.server.recordLimit(r.Limit, a.since, now)
 	if r.Kind == "" {
 		a.server.throttle.giveBack()
 	}
 	if r.Kind == health.OK || r.Kind == health.Failed {
-		a.server.setContact(s.entry(key.vm), now)
+		a.server.setContact(s.entry(key.VM), now)
 	}
 	if a.ramping && a.server.ramp != nil {
 		a.server.ramp.Done(r.Kind == health.OK, now)
@@ -301,15 +301,15 @@
 	if a.final && r.Kind != "" && r.Kind != health.Cancelled {
 		s.recordServed(r.Kind == health.OK)
 	}
-	pathFailed := s.paths.recordResult(key.vm, a.server.name, r.Kind, a.since, now)
-	if !pathFailed && !(r.Kind.Bad() && s.cutOff.preceded(key.vm, a.since)) {
-		s.observe(key.vm, a, r, now)
+	pathFailed := s.paths.recordResult(key.VM, a.server.name, r.Kind, a.since, now)
+	if !pathFailed && !(r.Kind.Bad() && s.cutOff.preceded(key.VM, a.since)) {
+		s.observe(key.VM, a, r, now)
 	}
 	s.recordEvidence(a, r, now)
 	return a.server.name, true
 }
 
-func (s *scheduler) release(key requestKey, a assignment) {
+func (s *scheduler) release(key Key, a assignment) {
 	delete(s.assignments, key)
 	a.server.inUse--
 	if s.running[a.workspace]--; s.running[a.workspace] <= 0 {
@@ -351,7 +351,7 @@
 }
 
 // tick removes expired state, then places or rejects queued requests.
-func (s *scheduler) tick(view poolView, now time.Time) []placement {
+func (s *scheduler) tick(view poolView, now time.Time) []Placement {
 	s.sync(view, now)
 	s.observeRunning(now)
 	for key, a := range s.assignments {
--- a/pool/scheduler_test.go
+++ b/sched/scheduler_test.go
@@ -1,4 +1,4 @@
-package pool
+package sched
 
 import (
 	"fmt"
@@ -38,7 +38,7 @@
 // completion is the end of a running request.
 type completion struct {
 	at      time.Time
-	key     requestKey
+	key     Key
 	target  string
 	kind    health.Kind
 	latency time.Duration
@@ -73,19 +73,19 @@
 	result := loadResult{maxInUse: make(map[string]int)}
 	var running []completion
 	now := startTime
-	start := func(r placement) {
-		if r.target == "" {
+	start := func(r Placement) {
+		if r.Target == "" {
 			result.rejected++
 			return
 		}
-		result.maxInUse[r.target] = max(result.maxInUse[r.target], s.byName[r.target].inUse)
-		e := completion{key: r.request.key(), target: r.target, kind: health.OK, latency: l.service}
-		if gray(r.target, now) && random.Float64() < 0.75 {
+		result.maxInUse[r.Target] = max(result.maxInUse[r.Target], s.byName[r.Target].inUse)
+		e := completion{key: r.Request.key(), target: r.Target, kind: health.OK, latency: l.service}
+		if gray(r.Target, now) && random.Float64() < 0.75 {
 			e.kind, e.latency = health.Failed, l.failureLatency
 		}
 		e.at = now.Add(e.latency)
 		running = append(running, e)
-		if !r.request.idempotent {
+		if !r.Request.Idempotent {
 			result.nonIdempotent++
 			if e.kind == health.Failed {
 				result.failed++
@@ -100,11 +100,11 @@
 		}
 		if random.Float64() < l.perSecond*step.Seconds() {
 			id++
-			r := s.place(request{
-				vm: "e", id: id, idempotent: random.Float64() < l.idempotent,
-				objective: now.Add(600 * time.Millisecond), deadline: now.Add(1500 * time.Millisecond),
+			r := s.place(Request{
+				VM: "e", ID: id, Idempotent: random.Float64() < l.idempotent,
+				Objective: now.Add(600 * time.Millisecond), Deadline: now.Add(1500 * time.Millisecond),
 			}, view, now)
-			if !r.queued {
+			if !r.Queued {
 				start(r)
 			}
 		}
@@ -150,16 +150,16 @@
 	view := poolView{
 		targets: []fleet.Target{{Name: "s", Slots: 1, Boot: 1}}, ramp: func(string) *Ramp { return nil },
 	}
-	newRequest := func(id uint64, rank int) request {
-		return request{vm: "e", id: id, rank: rank, workspace: fmt.Sprint("w", id), objective: startTime.Add(time.Minute), deadline: startTime.Add(time.Minute)}
+	newRequest := func(id uint64, rank int) Request {
+		return Request{VM: "e", ID: id, Rank: rank, Workspace: fmt.Sprint("w", id), Objective: startTime.Add(time.Minute), Deadline: startTime.Add(time.Minute)}
 	}
-	is.Equal(s.place(newRequest(1, 2), view, startTime).target, "s")
-	is.True(s.place(newRequest(2, 2), view, startTime).queued)
-	is.True(s.place(newRequest(3, 0), view, startTime).queued)
-	s.done(requestKey{"e", 1}, health.Result{Kind: health.OK, Latency: 100 * time.Millisecond}, startTime)
+	is.Equal(s.place(newRequest(1, 2), view, startTime).Target, "s")
+	is.True(s.place(newRequest(2, 2), view, startTime).Queued)
+	is.True(s.place(newRequest(3, 0), view, startTime).Queued)
+	s.done(Key{"e", 1}, health.Result{Kind: health.OK, Latency: 100 * time.Millisecond}, startTime)
 	placements := s.placeQueued(view, startTime)
 	is.Equal(len(placements), 1)
-	is.Equal(placements[0].request.id, uint64(3))
+	is.Equal(placements[0].Request.ID, uint64(3))
 }
 
 // A request that cannot be answered in time must be rejected immediately, not when its
@@ -170,13 +170,13 @@
 	view := poolView{
 		targets: []fleet.Target{{Name: "s", Slots: 1, Boot: 1}}, ramp: func(string) *Ramp { return nil },
 	}
-	short := request{vm: "e", id: 1, objective: startTime.Add(300 * time.Millisecond), deadline: startTime.Add(300 * time.Millisecond)}
-	is.Equal(s.place(short, view, startTime).target, "s")
-	short.id = 2
+	short := Request{VM: "e", ID: 1, Objective: startTime.Add(300 * time.Millisecond), Deadline: startTime.Add(300 * time.Millisecond)}
+	is.Equal(s.place(short, view, startTime).Target, "s")
+	short.ID = 2
 	r := s.place(short, view, startTime)
-	is.Equal(r.target, "")
-	is.True(!r.queued)
-	is.True(r.retryAfter > 0)
+	is.Equal(r.Target, "")
+	is.True(!r.Queued)
+	is.True(r.RetryAfter > 0)
 }
 
 func TestSlotsOfLostEntriesAreReleased(t *testing.T) {
@@ -185,8 +185,8 @@
 	view := poolView{
 		targets: []fleet.Target{{Name: "s", Slots: 1, Boot: 1}}, ramp: func(string) *Ramp { return nil },
 	}
-	req := request{vm: "e", id: 1, objective: startTime.Add(time.Second), deadline: startTime.Add(time.Second)}
-	is.Equal(s.place(req, view, startTime).target, "s")
+	req := Request{VM: "e", ID: 1, Objective: startTime.Add(time.Second), Deadline: startTime.Add(time.Second)}
+	is.Equal(s.place(req, view, startTime).Target, "s")
 	s.tick(view, startTime.Add(time.Second+abandonedAfter+1))
 	is.Equal(s.byName["s"].inUse, 0)
 }
@@ -203,8 +203,8 @@
 	s := newScheduler()
 	assigned := 0
 	for id := range uint64(100) {
-		req := request{vm: "e", id: id, idempotent: true, objective: startTime.Add(time.Second), deadline: startTime.Add(time.Second)}
-		if s.place(req, view, startTime.Add(time.Duration(id)*time.Millisecond)).target != "" {
+		req := Request{VM: "e", ID: id, Idempotent: true, Objective: startTime.Add(time.Second), Deadline: startTime.Add(time.Second)}
+		if s.place(req, view, startTime.Add(time.Duration(id)*time.Millisecond)).Target != "" {
 			assigned++
 			s.done(req.key(), health.Result{Kind: health.OK, Latency: time.Millisecond}, startTime)
 		}
@@ -226,10 +226,10 @@
 	now := startTime.Add(5 * time.Second)
 	s.observe("e", assignment{server: s.byName["proven"], since: now}, health.Result{Kind: health.OK}, now)
 	s.observe("e", assignment{server: s.byName["failed"], since: now}, health.Result{Kind: health.Failed}, now)
-	req := request{vm: "e", id: 1, idempotent: true, objective: now.Add(time.Second), deadline: now.Add(time.Second)}
-	is.Equal(s.place(req, view, now).target, "old") // the server with the oldest result
-	req.id, req.avoid = 2, []string{"old"}
-	is.Equal(s.place(req, view, now).target, "proven")
+	req := Request{VM: "e", ID: 1, Idempotent: true, Objective: now.Add(time.Second), Deadline: now.Add(time.Second)}
+	is.Equal(s.place(req, view, now).Target, "old") // the server with the oldest result
+	req.ID, req.Avoid = 2, []string{"old"}
+	is.Equal(s.place(req, view, now).Target, "proven")
 }
 
 // Retries are counted by the holder, where the requests of all entries meet. Otherwise an
@@ -243,8 +243,8 @@
 	}
 	retries := 0
 	for id := range uint64(500) {
-		req := request{vm: "e", id: id, idempotent: true, avoid: []string{"a"}, arrived: true, objective: startTime.Add(time.Second), deadline: startTime.Add(time.Second)}
-		if s.place(req, view, startTime).target != "" {
+		req := Request{VM: "e", ID: id, Idempotent: true, Avoid: []string{"a"}, Arrived: true, Objective: startTime.Add(time.Second), Deadline: startTime.Add(time.Second)}
+		if s.place(req, view, startTime).Target != "" {
 			retries++
 		}
 	}
@@ -262,10 +262,10 @@
 		targets: []fleet.Target{{Name: "a", Slots: 1000, Boot: 1}, {Name: "b", Slots: 1000, Boot: 1}},
 		ramp:    func(string) *Ramp { return nil },
 	}
-	req := request{vm: "e", id: 1, avoid: []string{"a"}, objective: startTime.Add(time.Second), deadline: startTime.Add(time.Second)}
-	is.Equal(s.place(req, view, startTime).target, "b")
-	req.id, req.arrived = 2, true
-	is.Equal(s.place(req, view, startTime).target, "")
+	req := Request{VM: "e", ID: 1, Avoid: []string{"a"}, Objective: startTime.Add(time.Second), Deadline: startTime.Add(time.Second)}
+	is.Equal(s.place(req, view, startTime).Target, "b")
+	req.ID, req.Arrived = 2, true
+	is.Equal(s.place(req, view, startTime).Target, "")
 }
 
 // Half of the servers shed all requests, a holder is replaced, and entries choose locally
@@ -308,15 +308,15 @@
 		view.targets = append(view.targets, fleet.Target{Name: fmt.Sprint("s", i), DataCentre: dataCentre, Slots: 4, Boot: 1})
 	}
 	s := newScheduler()
-	req := request{vm: "e", id: 1, dataCentre: "near", bytes: 60_000, objective: startTime.Add(time.Second), deadline: startTime.Add(time.Second)}
-	first := s.place(req, view, startTime).target
+	req := Request{VM: "e", ID: 1, DataCentre: "near", Bytes: 60_000, Objective: startTime.Add(time.Second), Deadline: startTime.Add(time.Second)}
+	first := s.place(req, view, startTime).Target
 	is.True(first != "s0")
 	s.done(req.key(), health.Result{Kind: health.OK, Latency: time.Millisecond}, startTime)
-	req.id = 2
-	is.Equal(s.place(req, view, startTime.Add(time.Second)).target, first)
+	req.ID = 2
+	is.Equal(s.place(req, view, startTime.Add(time.Second)).Target, first)
 	s.observe("e", assignment{server: s.byName[first]}, health.Result{Kind: health.Failed}, startTime.Add(time.Second))
-	req.id = 3
-	is.True(s.place(req, view, startTime.Add(time.Second)).target != first) // health takes precedence
+	req.ID = 3
+	is.True(s.place(req, view, startTime.Add(time.Second)).Target != first) // health takes precedence
 }
 
 // floorLoad is a load under which no server may be without requests for long.
@@ -361,22 +361,22 @@
 			continue
 		}
 		id++
-		req := request{
-			vm: fmt.Sprint("e", random.IntN(44)), dataCentre: fmt.Sprint(random.IntN(3)), id: id, bytes: 4000,
-			idempotent: random.Float64() < l.idempotent,
-			objective:  now.Add(600 * time.Millisecond), deadline: now.Add(1500 * time.Millisecond),
+		req := Request{
+			VM: fmt.Sprint("e", random.IntN(44)), DataCentre: fmt.Sprint(random.IntN(3)), ID: id, Bytes: 4000,
+			Idempotent: random.Float64() < l.idempotent,
+			Objective:  now.Add(600 * time.Millisecond), Deadline: now.Add(1500 * time.Millisecond),
 		}
 		r := s.place(req, view, now)
-		if r.target == "" {
+		if r.Target == "" {
 			continue
 		}
-		lastRequest[r.target] = now
-		e := completion{key: req.key(), target: r.target, kind: health.OK, latency: 150 * time.Millisecond}
-		gray := (now.Sub(startTime)+phase[r.target])%l.grayInterval < l.grayDuration
+		lastRequest[r.Target] = now
+		e := completion{key: req.key(), target: r.Target, kind: health.OK, latency: 150 * time.Millisecond}
+		gray := (now.Sub(startTime)+phase[r.Target])%l.grayInterval < l.grayDuration
 		if gray && random.Float64() < 0.9 || random.Float64() < l.errorRate {
 			e.kind, e.latency = health.Failed, time.Millisecond
 		}
-		if !req.idempotent {
+		if !req.Idempotent {
 			nonIdempotent++
 			if e.kind == health.Failed {
 				failures++
@@ -432,7 +432,7 @@
 	s := newScheduler(retry.Ratio(0.2), retry.Burst(1000))
 	now := startTime
 	place := func(id uint64, arrived, forwarded bool) bool {
-		return s.place(request{vm: "e1", id: id, idempotent: true, arrived: arrived, forwarded: forwarded, objective: now.Add(time.Second), deadline: now.Add(time.Minute)}, view, now).target != ""
+		return s.place(Request{VM: "e1", ID: id, Idempotent: true, Arrived: arrived, Forwarded: forwarded, Objective: now.Add(time.Second), Deadline: now.Add(time.Minute)}, view, now).Target != ""
 	}
 	for id := range uint64(requests) {
 		is.True(place(id, false, false))
@@ -456,8 +456,8 @@
 	}
 	now := startTime
 	for range 9 { // starts of the entry, each of which ends before its first request does
-		placed := s.place(request{vm: "e1", id: 1, workspace: "w", deadline: now.Add(time.Second)}, view, now)
-		is.True(placed.target != "")
+		placed := s.place(Request{VM: "e1", ID: 1, Workspace: "w", Deadline: now.Add(time.Second)}, view, now)
+		is.True(placed.Target != "")
 		now = now.Add(10 * time.Millisecond)
 	}
 	inUse := func() (n int) {
@@ -483,7 +483,7 @@
 			view.targets = append(view.targets, fleet.Target{Name: fmt.Sprint("s", i), Slots: 3, Boot: 1})
 		}
 		now := startTime
-		var sent []requestKey // also of requests that have ended: their messages may come late
+		var sent []Key // also of requests that have ended: their messages may come late
 		lastID := [3]uint64{}
 		for range 400 {
 			now = now.Add(time.Duration(random.IntN(50)) * time.Millisecond)
@@ -491,7 +491,7 @@
 			switch random.IntN(6) {
 			case 0, 1, 2:
 				lastID[e]++
-				req := request{vm: fmt.Sprint("e", e), id: lastID[e], workspace: fmt.Sprint("w", random.IntN(2)), deadline: now.Add(time.Second)}
+				req := Request{VM: fmt.Sprint("e", e), ID: lastID[e], Workspace: fmt.Sprint("w", random.IntN(2)), Deadline: now.Add(time.Second)}
 				s.place(req, view, now)
 				sent = append(sent, req.key())
 			case 3, 4:
--- a/pool/server.go
+++ b/sched/server.go
@@ -1,4 +1,4 @@
-package pool
+package sched
 
 import (
 	"time"
@@ -70,7 +70,7 @@
 func (srv *server) servedPerSecond(serviceTime time.Duration) float64 {
 	served := float64(srv.slots) / max(serviceTime, time.Millisecond).Seconds()
 	if srv.throttle != nil {
-		served = min(served, throttledRate(srv.throttle.perSecond))
+		served = min(served, ThrottledRate(srv.throttle.perSecond))
 	}
 	return served
 }
--- a/pool/shed_test.go
+++ b/sched/shed_test.go
@@ -1,4 +1,4 @@
-package pool
+package sched
 
 import (
 	"fmt"
@@ -32,25 +32,25 @@
 	s := newScheduler(retry.Ratio(0.15), retry.Slack(60, func() int { return 1 }))
 	var running []completion
 	now := startTime
-	var start func(p placement)
-	start = func(p placement) {
-		req := p.request
+	var start func(p Placement)
+	start = func(p Placement) {
+		req := p.Request
 		var server int
-		fmt.Sscanf(p.target, "s%d", &server)
+		fmt.Sscanf(p.Target, "s%d", &server)
 		switch {
-		case p.queued:
-		case p.target == "":
+		case p.Queued:
+		case p.Target == "":
 			refused++
 		case server >= l.servers-l.silent:
 			lost++
 			running = append(running, completion{at: now.Add(250 * time.Millisecond), key: req.key(), kind: health.Unreachable})
 		case server < l.shedding && random.Float64() < l.share:
 			s.done(req.key(), health.Result{Kind: health.Shed, Latency: 2 * time.Millisecond}, now)
-			if req.arrived {
+			if req.Arrived {
 				refused++
 				return
 			}
-			req.id, req.avoid, req.arrived = req.id+1_000_000, append(req.avoid, p.target), true
+			req.ID, req.Avoid, req.Arrived = req.ID+1_000_000, append(req.Avoid, p.Target), true
 			start(s.place(req, view, now))
 		default:
 			served++
@@ -64,7 +64,7 @@
 		}
 		if random.Float64() < 0.15 {
 			id++
-			start(s.place(request{vm: fmt.Sprint("e", id%40), id: id, idempotent: random.IntN(4) == 0, objective: now.Add(time.Second), deadline: now.Add(2 * time.Second)}, view, now))
+			start(s.place(Request{VM: fmt.Sprint("e", id%40), ID: id, Idempotent: random.IntN(4) == 0, Objective: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, view, now))
 		}
 	}
 	return served, refused, lost
