--- a/pool/rollout_test.go
+++ b/pool/rollout_test.go
@@ -35,7 +35,7 @@
 }
 
 // newRolloutEntry returns the entry. It holds the pool's lease in the placement mode "holder".
-func newRolloutEntry(t *testing.T, mode PlacementMode, coldTrial bool) *rolloutEntry {
+func newRolloutEntry(t *testing.T, mode PlacementMode) *rolloutEntry {
 	is := is.New(t)
 	e := &rolloutEntry{is: is, clock: clock.NewManual(startTime)}
 	desk := state.Pool{Name: "desk", Floor: 0.7, ColdSlots: 1, Ramp: state.Duration(time.Minute)}
@@ -43,11 +43,7 @@
 	f := fleet.New(deafTransport{}, fleet.Self(fleet.Member{VM: "e1", DataCentre: "d1", Boot: 1}), fleet.Clock(e.clock))
 	var targets []fleet.Target
 	for i, version := range []string{"v1", "v1", "v2", "v2"} {
-		target := fleet.Target{Name: fmt.Sprint("b", i), Pool: "desk", DataCentre: "d1", Slots: 100, Boot: 1, Phase: fleet.Warm, Version: version}
-		if coldTrial && version == "v2" {
-			target.Phase = fleet.Cold
-		}
-		targets = append(targets, target)
+		targets = append(targets, fleet.Target{Name: fmt.Sprint("b", i), Pool: "desk", DataCentre: "d1", Slots: 100, Boot: 1, Phase: fleet.Warm, Version: version})
 	}
 	f.SetRegistered(targets)
 	e.leases = lease.New(deafTransport{}, f, lease.VM("e1"), lease.Boot(1), lease.Voters(func() []string { return []string{"e1"} }), lease.Clock(e.clock))
@@ -96,7 +92,7 @@
 	for _, mode := range []PlacementMode{PlacementLocal, PlacementHolder} {
 		t.Run(string(mode), func(t *testing.T) {
 			is := is.New(t)
-			e := newRolloutEntry(t, mode, false)
+			e := newRolloutEntry(t, mode)
 			first, retry := pick.Request{Idempotent: true, Route: "read"}, pick.Request{Idempotent: true, Route: "read", Avoid: []string{"b0"}, Arrived: true}
 			is.Equal(e.versions(40, first), []string{"v1", "v2"}) // without a roll-out
 			e.rollOut(state.RolloutRunning, 0)
@@ -123,7 +119,7 @@
 
 func TestResultsAreReportedWhileARolloutIsRunning(t *testing.T) {
 	is := is.New(t)
-	e := newRolloutEntry(t, PlacementHolder, false)
+	e := newRolloutEntry(t, PlacementHolder)
 	e.versions(20, pick.Request{Idempotent: true, Route: "read"})
 	is.Equal(len(e.RolloutTallies(e.clock.Now())), 0)
 	e.rollOut(state.RolloutRunning, 0.5)
@@ -145,7 +141,7 @@
 // The holder may not know yet that a roll-out has ended when it assigns a server.
 func TestEntryRefusesAServerThatARolloutHasRetired(t *testing.T) {
 	is := is.New(t)
-	e := newRolloutEntry(t, PlacementHolder, false)
+	e := newRolloutEntry(t, PlacementHolder)
 	accepted := func(name string) bool {
 		_, ok := e.acceptSlot("desk", "e1", 0, name, "")
 		return ok
@@ -158,23 +154,10 @@
 	is.True(!accepted("b0") && accepted("b2"))
 }
 
-// The ejections that the floor allows are left to the servers that entries choose by themselves.
-func TestVersionOnTrialSpendsNoEjections(t *testing.T) {
-	is := is.New(t)
-	e := newRolloutEntry(t, PlacementHolder, false)
-	e.rollOut(state.RolloutRunning, 0.5)
-	e.advance(Period)
-	h := e.holders["desk"]
-	settings := state.Pool{Name: "desk", Floor: 0.5}
-	reportUnreachable(h, e.cellServers("desk"), e.clock.Now(), "b1", "b2", "b3")
-	status, _ := h.evaluate(e.cellServers("desk"), settings, e.clock.Now())
-	is.Equal(status.ejected, []string{"b1"})
-}
-
 // An entry whose own cell has servers of the version on trial only chooses from another one.
 func TestLocalChoicesLeaveACellWithOnlyTheVersionOnTrial(t *testing.T) {
 	is := is.New(t)
-	e := newRolloutEntry(t, PlacementLocal, false)
+	e := newRolloutEntry(t, PlacementLocal)
 	e.fleet.SetRegistered([]fleet.Target{
 		{Name: "b1", Pool: "desk", DataCentre: "d1", Slots: 4, Boot: 1, Phase: fleet.Warm, Version: "v2"},
 		{Name: "b2", Pool: "desk", DataCentre: "d2", Slots: 4, Boot: 1, Phase: fleet.Warm, Version: "v1"},
@@ -184,18 +167,3 @@
 	e.rollOut(state.RolloutRunning, 0.5)
 	is.Equal(e.versions(5, pick.Request{}), []string{"v1"})
 }
-
-// Permits are for entries that choose by themselves, which do not use the version on trial.
-func TestNoPermitsForTheVersionOnTrial(t *testing.T) {
-	is := is.New(t)
-	e := newRolloutEntry(t, PlacementLocal, true)
-	e.rollOut(state.RolloutRunning, 0.5)
-	e.advance(Period)
-	_, granted := e.holders["desk"].permit(e.clock.Now())
-	is.True(!granted)
-	e.rollOut(state.RolloutCompleted, 1)
-	e.advance(Period)
-	name, granted := e.holders["desk"].permit(e.clock.Now())
-	is.True(granted)
-	is.Equal(name[:1], "b")
-}
--- a/pool/versions.go
+++ b/sched/versions.go
@@ -1,4 +1,4 @@
-package pool
+package sched
 
 import (
 	"slices"
@@ -62,7 +62,7 @@
 }
 
 // sides returns the sides that a request may use, the preferred one first.
-func (v *versions) sides(req request) []side {
+func (v *versions) sides(req Request) []side {
 	switch {
 	case !v.trial.Active():
 		return anySides
@@ -82,7 +82,7 @@
 }
 
 // arrived counts a request that has arrived.
-func (v *versions) arrived(req request) {
+func (v *versions) arrived(req Request) {
 	if v.alone && req.isFirst() {
 		v.credit = min(v.credit, maxTrialCredit) + v.trial.Share
 	}
@@ -122,7 +122,7 @@
 }
 
 // sent counts a request that was assigned to a server, or left to another cell if srv is nil.
-func (v *versions) sent(req request, srv *server) {
+func (v *versions) sent(req Request, srv *server) {
 	if !v.trial.Active() {
 		return
 	}
@@ -149,8 +149,8 @@
 }
 
 // isFirst reports whether this is the first attempt of a request, in the cell that was asked first.
-func (req request) isFirst() bool {
-	return !req.forwarded && !req.arrived && !req.hedge && len(req.avoid) == 0
+func (req Request) isFirst() bool {
+	return !req.Forwarded && !req.Arrived && !req.Hedge && len(req.Avoid) == 0
 }
 
 // countVersion counts the result of a request for the version of its server. What a server fails
--- a/pool/versions_test.go
+++ b/sched/versions_test.go
@@ -1,4 +1,4 @@
-package pool
+package sched
 
 import (
 	"fmt"
@@ -15,6 +15,7 @@
 	"github.com/dottereldeal/dottereldeal/health"
 	"github.com/dottereldeal/dottereldeal/pick"
 	"github.com/dottereldeal/dottereldeal/retry"
+	"github.com/dottereldeal/dottereldeal/state"
 )
 
 // versionView returns a view of servers a0, a1, ... of version v1 and b0, b1, ... of version v2, which
@@ -30,11 +31,11 @@
 	return view
 }
 
-func onTrial(p placement) bool { return p.target != "" && p.target[0] == 'b' }
+func onTrial(p Placement) bool { return p.Target != "" && p.Target[0] == 'b' }
 
 // firstAttempt returns a request that has second to be answered.
-func firstAttempt(id uint64, now time.Time) request {
-	return request{vm: "e", id: id, idempotent: id%3 > 0, objective: now.Add(time.Second), deadline: now.Add(time.Second)}
+func firstAttempt(id uint64, now time.Time) Request {
+	return Request{VM: "e", ID: id, Idempotent: id%3 > 0, Objective: now.Add(time.Second), Deadline: now.Add(time.Second)}
 }
 
 func TestVersionOnTrialGetsExactlyItsShare(t *testing.T) {
@@ -46,12 +47,12 @@
 			for id := range uint64(1000) {
 				now = now.Add(interval)
 				placed := s.place(firstAttempt(id, now), view, now)
-				is.True(placed.target != "")
+				is.True(placed.Target != "")
 				if onTrial(placed) {
 					got++
 				}
 				is.Equal(got, int(share*float64(id+1)+1e-6)) // over any prefix
-				s.done(placed.request.key(), health.Result{Kind: health.OK, Latency: time.Millisecond}, now)
+				s.done(placed.Request.key(), health.Result{Kind: health.OK, Latency: time.Millisecond}, now)
 			}
 		}
 	}
@@ -65,7 +66,7 @@
 	view    poolView
 	random  *rand.Rand
 	now     time.Time
-	running []placement
+	running []Placement
 	// due is the most that the version on trial may have got, got what it did.
 	due float64
 	got int
@@ -74,15 +75,15 @@
 }
 
 // take notes a decision.
-func (l *trialLoad) take(t *testing.T, p placement) {
+func (l *trialLoad) take(t *testing.T, p Placement) {
 	t.Helper()
-	if p.target == "" && p.forward == (destination{}) {
+	if p.Target == "" && p.Forward == (Destination{}) {
 		return
 	}
-	if isFirst := !p.request.arrived && len(p.request.avoid) == 0 && !p.request.hedge && !p.request.forwarded; isFirst {
+	if isFirst := !p.Request.Arrived && len(p.Request.Avoid) == 0 && !p.Request.Hedge && !p.Request.Forwarded; isFirst {
 		l.due += l.view.trial.Share
 	}
-	if p.target == "" {
+	if p.Target == "" {
 		return
 	}
 	l.served++
@@ -91,7 +92,7 @@
 		return
 	}
 	l.got++
-	if p.request.arrived || len(p.request.avoid) > 0 || p.request.hedge || p.request.forwarded {
+	if p.Request.Arrived || len(p.Request.Avoid) > 0 || p.Request.Hedge || p.Request.Forwarded {
 		t.Fatal("a retry, a hedge or a request of another cell reached the version on trial")
 	}
 	if float64(l.got) > l.due+1e-6 {
@@ -106,10 +107,10 @@
 	l.running = slices.Delete(l.running, at, at+1)
 	kinds := []health.Kind{health.OK, health.OK, health.OK, health.OK, health.Failed, health.TimedOut, health.Shed, health.Late, health.Unreachable, ""}
 	kind := kinds[l.random.IntN(len(kinds))]
-	l.s.done(p.request.key(), health.Result{Kind: kind, Latency: 20 * time.Millisecond}, l.now)
-	if kind.Bad() && len(p.request.avoid) < 3 {
-		again := p.request
-		again.id, again.avoid, again.arrived = l.random.Uint64(), append(slices.Clone(again.avoid), p.target), kind != health.Unreachable
+	l.s.done(p.Request.key(), health.Result{Kind: kind, Latency: 20 * time.Millisecond}, l.now)
+	if kind.Bad() && len(p.Request.Avoid) < 3 {
+		again := p.Request
+		again.ID, again.Avoid, again.Arrived = l.random.Uint64(), append(slices.Clone(again.Avoid), p.Target), kind != health.Unreachable
 		l.take(t, l.s.place(again, l.view, l.now))
 	}
 }
@@ -130,11 +131,11 @@
 		switch l.random.IntN(10) {
 		case 0, 1, 2, 3, 4:
 			req := firstAttempt(uint64(step), l.now)
-			req.hedge, req.forwarded = l.random.IntN(10) == 0, l.random.IntN(10) == 0
-			req.deadline = l.now.Add(time.Duration(l.random.Int64N(int64(time.Second))))
+			req.Hedge, req.Forwarded = l.random.IntN(10) == 0, l.random.IntN(10) == 0
+			req.Deadline = l.now.Add(time.Duration(l.random.Int64N(int64(time.Second))))
 			l.take(t, l.s.place(req, l.view, l.now))
 		case 5:
-			l.s.overflow.report("other", cellLoad{vm: "e9", freeSlots: l.random.IntN(3), wait: time.Second, reportedAt: l.now})
+			l.s.overflow.report("other", CellLoad{VM: "e9", FreeSlots: l.random.IntN(3), Wait: time.Second, ReportedAt: l.now})
 		case 6:
 			for _, p := range l.s.tick(l.view, l.now) {
 				l.take(t, p)
@@ -168,11 +169,11 @@
 func TestFullTrialServersLeaveTheirRequestsToOthers(t *testing.T) {
 	is := is.New(t)
 	s, view, now := newScheduler(), versionView(50, 1, 4, 0.5), startTime
-	var held []placement
+	var held []Placement
 	got := func(n int, from uint64) (onTrialCount int) {
 		for id := from; id < from+uint64(n); id++ {
 			p := s.place(firstAttempt(id, now), view, now)
-			is.True(p.target != "")
+			is.True(p.Target != "")
 			if onTrial(p) {
 				onTrialCount++
 				held = append(held, p)
@@ -182,7 +183,7 @@
 	}
 	is.Equal(got(100, 0), 4)
 	for _, p := range held {
-		s.done(p.request.key(), health.Result{Kind: health.OK, Latency: time.Millisecond}, now)
+		s.done(p.Request.key(), health.Result{Kind: health.OK, Latency: time.Millisecond}, now)
 	}
 	now = now.Add(time.Second)
 	is.True(got(4, 1000) <= 3)
@@ -192,18 +193,18 @@
 func TestOtherRequestsDoNotUseFreeTrialServers(t *testing.T) {
 	is := is.New(t)
 	s, view := newScheduler(), versionView(1, 5, 1, 0.01)
-	is.Equal(s.place(firstAttempt(1, startTime), view, startTime).target, "a0")
+	is.Equal(s.place(firstAttempt(1, startTime), view, startTime).Target, "a0")
 	waiting := s.place(firstAttempt(2, startTime), view, startTime)
-	is.True(waiting.queued)
+	is.True(waiting.Queued)
 	is.Equal(len(s.placeQueued(view, startTime)), 0)
 	urgent := firstAttempt(3, startTime)
-	urgent.deadline = startTime.Add(10 * time.Millisecond)
+	urgent.Deadline = startTime.Add(10 * time.Millisecond)
 	rejected := s.place(urgent, view, startTime)
-	is.Equal(rejected.target+fmt.Sprint(rejected.queued), "false")
+	is.Equal(rejected.Target+fmt.Sprint(rejected.Queued), "false")
 	late := startTime.Add(990 * time.Millisecond) // the waiting one is sent to any server or rejected
 	last := s.placeQueued(view, late)
 	is.Equal(len(last), 1)
-	is.Equal(last[0].target, "")
+	is.Equal(last[0].Target, "")
 	free, _ := s.load(view, late)
 	is.Equal(free, 0) // nor do requests of other cells
 	is.True(s.servedPerSecond(late) < 1.5/s.serviceTime.Seconds())
@@ -213,14 +214,14 @@
 func TestServerThatComesBackHasItsSlotsInUse(t *testing.T) {
 	is := is.New(t)
 	s, both := newScheduler(), versionView(1, 1, 1, 0.5)
-	is.Equal(s.place(firstAttempt(1, startTime), both, startTime).target, "a0")
+	is.Equal(s.place(firstAttempt(1, startTime), both, startTime).Target, "a0")
 	moved := both
 	moved.targets, moved.trial = slices.Clone(both.targets[1:]), pick.Trial{}
 	s.sync(moved, startTime)
 	both.targets = slices.Clone(both.targets)
 	s.sync(both, startTime)
 	is.Equal(s.byName["a0"].inUse, 1)
-	s.done(requestKey{"e", 1}, health.Result{Kind: health.OK}, startTime)
+	s.done(Key{"e", 1}, health.Result{Kind: health.OK}, startTime)
 	is.Equal(s.byName["a0"].inUse, 0)
 }
 
@@ -228,10 +229,10 @@
 	is := is.New(t)
 	s, view := newScheduler(), versionView(1, 5, 4, 0.01)
 	p := s.place(firstAttempt(1, startTime), view, startTime)
-	s.done(p.request.key(), health.Result{Kind: health.Shed, Pause: 100 * time.Millisecond}, startTime)
+	s.done(p.Request.key(), health.Result{Kind: health.Shed, Pause: 100 * time.Millisecond}, startTime)
 	refused := s.place(firstAttempt(2, startTime), view, startTime)
-	is.Equal(refused.target+fmt.Sprint(refused.queued), "false")
-	is.Equal(refused.retryAfter, 100*time.Millisecond)
+	is.Equal(refused.Target+fmt.Sprint(refused.Queued), "false")
+	is.Equal(refused.RetryAfter, 100*time.Millisecond)
 }
 
 // A cell whose servers are all of the new version serves the share of what arrives there.
@@ -245,7 +246,7 @@
 			for _, p := range decided {
 				if onTrial(p) {
 					got++
-					s.done(p.request.key(), health.Result{Kind: health.OK, Latency: time.Millisecond}, now)
+					s.done(p.Request.key(), health.Result{Kind: health.OK, Latency: time.Millisecond}, now)
 				}
 			}
 			is.True(float64(got) <= share*float64(id+1)+1e-6)
@@ -264,14 +265,14 @@
 		for id := range uint64(800) {
 			now = now.Add(5 * time.Millisecond)
 			req := firstAttempt(id, now)
-			req.idempotent = idempotent
+			req.Idempotent = idempotent
 			p := s.place(req, view, now)
-			reached[p.target]++
+			reached[p.Target]++
 			kind := health.OK
 			if id%5 == 0 {
 				kind = health.Failed
 			}
-			s.done(p.request.key(), health.Result{Kind: kind, Latency: time.Millisecond}, now)
+			s.done(p.Request.key(), health.Result{Kind: kind, Latency: time.Millisecond}, now)
 		}
 		most := 0
 		for i := range 20 {
@@ -294,7 +295,7 @@
 		if onTrial(p) {
 			latency = 5 * time.Second
 		}
-		s.done(p.request.key(), health.Result{Kind: health.OK, Latency: latency}, now)
+		s.done(p.Request.key(), health.Result{Kind: health.OK, Latency: latency}, now)
 	}
 	s.failureShare = 2 * floorFailureShare
 	is.True(!s.belowFloor(view, now))
@@ -321,11 +322,11 @@
 	now := startTime
 	finish := func(id uint64, vm, route string, r health.Result) (version string) {
 		req := firstAttempt(id, now)
-		req.route, req.vm = route, vm
+		req.Route, req.VM = route, vm
 		p := s.place(req, view, now)
 		now = now.Add(time.Millisecond)
-		s.done(p.request.key(), r, now)
-		return s.byName[p.target].version
+		s.done(p.Request.key(), r, now)
+		return s.byName[p.Target].version
 	}
 	is.Equal(finish(1, "e1", "read", health.Result{Kind: health.OK, Latency: 100 * time.Millisecond}), "v1")
 	is.Equal(finish(2, "e1", "read", health.Result{Kind: health.Failed}), "v2")
@@ -343,3 +344,32 @@
 	finish(7, "e1", "read", health.Result{Kind: health.OK})
 	is.Equal(list[0].Results, uint64(2)) // nothing is counted once the roll-out has ended
 }
+
+// The ejections that the floor allows are left to the servers that entries choose by themselves.
+func TestVersionOnTrialSpendsNoEjections(t *testing.T) {
+	is := is.New(t)
+	h := newHolder(startTime)
+	settings := state.Pool{Name: "desk", Floor: 0.5}
+	h.SetTargets(versionView(2, 2, 4, 0.5).targets, settings, 0)
+	h.SetTrial(pick.Trial{Version: "v2", Share: 0.5}, nil)
+	reportUnreachable(h, h.view.targets, startTime, "a1", "b0", "b1")
+	status, _ := h.Evaluate(h.view.targets, settings, startTime)
+	is.Equal(status.Ejected, []string{"a1"})
+}
+
+// Permits are for entries that choose by themselves, which do not use the version on trial.
+func TestNoPermitsForTheVersionOnTrial(t *testing.T) {
+	is := is.New(t)
+	h := newHolder(startTime)
+	targets := versionView(1, 1, 4, 0.5).targets
+	targets[1].Phase = fleet.Cold
+	h.SetTargets(targets, state.Pool{ColdSlots: 1, Ramp: state.Duration(time.Minute)}, 0)
+	h.SetTrial(pick.Trial{Version: "v2", Share: 0.5}, nil)
+	h.Tick(startTime)
+	_, granted := h.Permit(h.permitsFrom())
+	is.True(!granted)
+	h.SetTrial(pick.Trial{}, nil)
+	h.Tick(startTime)
+	name, _ := h.Permit(h.permitsFrom())
+	is.Equal(name, "b0")
+}
