Give a lease up that is renewed too late to be used

An owner of an expired lease whose majorities come too late twice in a row now releases the grants and does not ask for a second. One late majority is that of a process that stood still for a moment, and an owner that never held the lease keeps asking.

--- a/lease/holder.go
+++ b/lease/holder.go
@@ -15,6 +15,12 @@
 	maxBackoff = 300 * time.Millisecond
 	// undecidedAfter is the time after which voters that have not answered are taken for lost.
 	undecidedAfter = 150 * time.Millisecond
+	// maxLateRounds is the number of rounds in a row whose majority came too late after which an
+	// owner gives a lease up. A process that stood still for a moment has at most one such round.
+	maxLateRounds = 2
+	// lateBackoff is how long an owner that gave a lease up does not request it. It covers the time
+	// until entries that are not served have asked another one to take the lease over.
+	lateBackoff = time.Second
 )
 
 // Holder is an owner's state of its leases.
@@ -24,6 +30,9 @@
 	leases map[string]heldLease
 	// backoff holds the times before which names are not requested again.
 	backoff map[string]time.Time
+	// expired counts, for each lease that was not renewed in time, the rounds since then whose
+	// majority came too late.
+	expired map[string]int
 }
 
 // round is one request to all voters.
@@ -47,6 +56,7 @@
 func NewHolder() *Holder {
 	return &Holder{
 		rounds: make(map[uint64]*round), leases: make(map[string]heldLease), backoff: make(map[string]time.Time),
+		expired: make(map[string]int),
 	}
 }
 
@@ -67,9 +77,10 @@
 	return h.seq
 }
 
-// HandleAnswer counts a voter's grants. It returns the names that this answer won,
-// renewals excluded, and those with a split vote, whose grants the caller must release.
-func (h *Holder) HandleAnswer(voter string, seq uint64, grants []Grant, now time.Time) (won, split []string) {
+// HandleAnswer counts a voter's grants. It returns the names that this answer won, renewals
+// excluded, and those whose grants the caller must release: after a split vote, or because this
+// owner is too slow to use them.
+func (h *Holder) HandleAnswer(voter string, seq uint64, grants []Grant, now time.Time) (won, unusable []string) {
 	r, ok := h.rounds[seq]
 	if !ok || !contains(r.voters, voter) {
 		return nil, nil
@@ -85,15 +96,37 @@
 			granted[voter] = true
 			r.epochs[g.Name] = max(r.epochs[g.Name], g.Epoch)
 		}
+		majority := len(r.voters)/2 + 1
 		switch {
-		case g.Granted && len(granted) > len(r.voters)/2 && h.extend(g.Name, r, now):
+		case g.Granted && len(granted) >= majority && h.extend(g.Name, r, now):
 			won = append(won, g.Name)
+		case g.Granted && len(granted) == majority && h.isTooSlow(g.Name, r, now):
+			unusable = append(unusable, g.Name)
+			h.backoff[g.Name] = now.Add(lateBackoff)
 		case h.isSplit(g.Name, r, now):
-			split = append(split, g.Name)
+			unusable = append(unusable, g.Name)
 			h.backOff(g.Name, now)
 		}
 	}
-	return won, split
+	return won, unusable
+}
+
+// isTooSlow counts a round whose majority came too late, and reports whether this owner has become
+// too slow to hold a lease that expired.
+//
+// An owner whose VM is short of processor time sends its requests in time and reads the answers too
+// late. Its requests would keep the voters from granting the lease to any other entry.
+func (h *Holder) isTooSlow(name string, r *round, now time.Time) bool {
+	lateRounds, expired := h.expired[name]
+	if !expired || now.Before(r.sent.Add(HoldDuration)) {
+		return false
+	}
+	if lateRounds+1 < maxLateRounds {
+		h.expired[name] = lateRounds + 1
+		return false
+	}
+	delete(h.expired, name)
+	return true
 }
 
 // TakeUndecided separates those of the requested names for which voters have granted some of a
@@ -154,6 +187,7 @@
 	if !now.Before(until) {
 		return false
 	}
+	delete(h.expired, name)
 	old := h.leases[name]
 	won := !now.Before(old.until)
 	if won {
@@ -180,6 +214,7 @@
 		if !now.Before(l.until) {
 			names = append(names, name)
 			delete(h.leases, name)
+			h.expired[name] = 0
 		}
 	}
 	return names
@@ -210,6 +245,7 @@
 	h.seq++
 	for _, name := range names {
 		delete(h.leases, name)
+		delete(h.expired, name)
 		for _, r := range h.rounds {
 			delete(r.grants, name)
 		}
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -257,7 +257,7 @@
 }
 
 // handleAnswer counts a voter's answer, announces the leases that it won and releases
-// those with a split vote.
+// the grants that it cannot use.
 func (m *Manager) handleAnswer(from string, answer *wire.LeaseAnswer) {
 	if answer == nil || answer.GetBoot() != m.options.Boot {
 		return
@@ -267,12 +267,12 @@
 		grants = append(grants, Grant{Name: g.GetName(), Granted: g.GetGranted(), Epoch: g.GetEpoch()})
 	}
 	m.mu.Lock()
-	won, split := m.holder.HandleAnswer(from, answer.GetSeq(), grants, m.options.Clock.Now())
+	won, unusable := m.holder.HandleAnswer(from, answer.GetSeq(), grants, m.options.Clock.Now())
 	m.mu.Unlock()
 	for _, name := range won {
 		m.announce(name)
 	}
-	m.release(split)
+	m.release(unusable)
 }
 
 // release ends leases of this VM and their grants at the voters.
--- a/lease/schedule_test.go
+++ b/lease/schedule_test.go
@@ -164,7 +164,7 @@
 		s.voters[m.voter].Release(owner, m.seq, names, s.voterNow(m.voter))
 	case m.grants != nil && m.boot != s.boots[m.owner]:
 	case m.grants != nil:
-		if _, split := s.owners[m.owner].HandleAnswer(s.voterNames[m.voter], m.seq, m.grants, s.ownerNow(m.owner)); len(split) > 0 {
+		if _, unusable := s.owners[m.owner].HandleAnswer(s.voterNames[m.voter], m.seq, m.grants, s.ownerNow(m.owner)); len(unusable) > 0 {
 			s.release(m.owner)
 		}
 	default:
