Let voters end the lease of a holder that several entries doubt

A holder on a slow VM renews its lease for as long as it reads the answers just in time, and serves nobody meanwhile. The entry that is asked to take over now counts who asks; from three entries on its requests contest the lease, and the voters give its holder no further grants. The last ones run out before any other owner gets the lease, as before. A lease is not contested in its first 5 s.

--- a/lease/failure.go
+++ b/lease/failure.go
@@ -1,6 +1,9 @@
 package lease
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// takeoverAfter is how long a holder must have failed before another entry is asked
@@ -15,6 +18,11 @@
 	recentFailurePeriod = 300 * time.Millisecond
 	// takeoverTimeout is how long an entry tries to take over a lease after a request.
 	takeoverTimeout = time.Second
+	// minDoubters is the number of entries that must ask for a takeover before the lease of a holder
+	// that renews it is contested. One or two may merely have lost their paths to the holder.
+	minDoubters = 3
+	// maxDoubters bounds the entries that are stored for a lease.
+	maxDoubters = 16
 )
 
 // failureTracker records the holders that fail to serve, and the leases that this entry
@@ -25,7 +33,14 @@
 // until then.
 type failureTracker struct {
 	failures  map[string]failureSeries
-	takeovers map[string]time.Time
+	takeovers map[string]takeover
+}
+
+// takeover is a request to take over a lease.
+type takeover struct {
+	until time.Time
+	// doubters holds the entries that asked, each until it no longer counts.
+	doubters map[string]time.Time
 }
 
 // failureSeries is an uninterrupted series of failures of one lease's holder.
@@ -36,7 +51,7 @@
 }
 
 func newFailureTracker() *failureTracker {
-	return &failureTracker{failures: make(map[string]failureSeries), takeovers: make(map[string]time.Time)}
+	return &failureTracker{failures: make(map[string]failureSeries), takeovers: make(map[string]takeover)}
 }
 
 // recordFailure records a failure of a lease's holder and reports whether to request a
@@ -64,21 +79,43 @@
 // clear removes the failures of a lease's holder.
 func (f *failureTracker) clear(name string) { delete(f.failures, name) }
 
-// addTakeovers records leases that this entry is asked to take over.
-func (f *failureTracker) addTakeovers(names []string, now time.Time) {
+// addTakeovers records leases that another entry, or this one, asks this entry to take over.
+func (f *failureTracker) addTakeovers(from string, names []string, now time.Time) {
 	for _, name := range names {
-		if len(f.takeovers) < maxNames {
-			f.takeovers[name] = now.Add(takeoverTimeout)
+		t, known := f.takeovers[name]
+		if !known && len(f.takeovers) >= maxNames {
+			continue
+		}
+		if t.doubters == nil {
+			t.doubters = make(map[string]time.Time)
+		}
+		maps.DeleteFunc(t.doubters, func(_ string, until time.Time) bool { return !now.Before(until) })
+		t.until = now.Add(takeoverTimeout)
+		if len(t.doubters) < maxDoubters {
+			t.doubters[from] = t.until
 		}
+		f.takeovers[name] = t
 	}
 }
 
 // takeoverRequested reports whether this entry is asked to take over a lease.
 func (f *failureTracker) takeoverRequested(name string, now time.Time) bool {
-	until, requested := f.takeovers[name]
-	if requested && !now.Before(until) {
+	t, requested := f.takeovers[name]
+	if requested && !now.Before(t.until) {
 		delete(f.takeovers, name)
 		return false
 	}
 	return requested
 }
+
+// contested reports whether so many entries ask for a takeover that the holder is at fault, and not
+// single paths to it.
+func (f *failureTracker) contested(name string, now time.Time) bool {
+	doubters := 0
+	for _, until := range f.takeovers[name].doubters {
+		if now.Before(until) {
+			doubters++
+		}
+	}
+	return doubters >= minDoubters
+}
--- a/lease/failure_test.go
+++ b/lease/failure_test.go
@@ -36,7 +36,7 @@
 	is := is.New(t)
 	start := time.Unix(9000, 0)
 	f := newFailureTracker()
-	f.addTakeovers([]string{"w01"}, start)
+	f.addTakeovers("e1", []string{"w01"}, start)
 	is.True(f.takeoverRequested("w01", start))
 	is.True(!f.takeoverRequested("w02", start))
 	is.True(!f.takeoverRequested("w01", start.Add(takeoverTimeout)))
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -102,11 +102,23 @@
 		names = m.namesToRequest(now, members)
 	}
 	undecided, names := m.holder.TakeUndecided(names, now)
+	contested, uncontested := m.splitContested(names, now)
 	m.mu.Unlock()
 	m.release(undecided)
-	for batch := range slices.Chunk(names, maxBatch) {
-		m.request(batch, voters, now)
+	m.request(uncontested, voters, false)
+	m.request(contested, voters, true)
+}
+
+// splitContested separates the leases whose holders do not serve several entries.
+func (m *Manager) splitContested(names []string, now time.Time) (contested, uncontested []string) {
+	for _, name := range names {
+		if _, held := m.holder.Held(name, now); !held && m.failures.contested(name, now) {
+			contested = append(contested, name)
+		} else {
+			uncontested = append(uncontested, name)
+		}
 	}
+	return contested, uncontested
 }
 
 // recordExpired records the leases that expired on the timeline, with the reason why
@@ -202,11 +214,17 @@
 }
 
 // request requests leases from all voters.
-func (m *Manager) request(names, voters []string, now time.Time) {
+func (m *Manager) request(names, voters []string, contested bool) {
+	for batch := range slices.Chunk(names, maxBatch) {
+		m.requestBatch(batch, voters, contested)
+	}
+}
+
+func (m *Manager) requestBatch(names, voters []string, contested bool) {
 	m.mu.Lock()
 	seq := m.holder.StartRound(names, voters, m.options.Clock.Now())
 	m.mu.Unlock()
-	request := &wire.LeaseAsk{Names: names, Boot: m.options.Boot, Seq: seq}
+	request := &wire.LeaseAsk{Names: names, Boot: m.options.Boot, Seq: seq, Contested: contested}
 	for _, vm := range voters {
 		if vm == m.options.VM {
 			m.handleAnswer(vm, m.vote(vm, request))
@@ -227,7 +245,7 @@
 		m.handleAnswer(from, body.LeaseAnswer)
 	case *wire.Envelope_LeaseNeed:
 		m.mu.Lock()
-		m.failures.addTakeovers(body.LeaseNeed.GetNames(), m.options.Clock.Now())
+		m.failures.addTakeovers(from, body.LeaseNeed.GetNames(), m.options.Clock.Now())
 		m.mu.Unlock()
 	default:
 		return false
@@ -249,6 +267,9 @@
 		m.voter.Release(owner, request.GetSeq(), request.GetNames(), now)
 		return nil
 	}
+	if request.GetContested() {
+		m.voter.Contest(owner, request.GetNames(), now)
+	}
 	answer := &wire.LeaseAnswer{Seq: request.GetSeq(), Boot: request.GetBoot()}
 	for _, g := range m.voter.Acquire(owner, request.GetSeq(), request.GetNames(), now) {
 		answer.Grants = append(answer.Grants, &wire.LeaseGrant{Name: g.Name, Granted: g.Granted, Epoch: g.Epoch})
@@ -342,7 +363,8 @@
 
 // ReportFailure notes that the holder of a lease did not answer, or that it does not
 // hold it. If failures continue, the next entry in the order of assignment is asked to
-// take the lease over. Voters still grant it to no other entry while its holder renews it.
+// take the lease over. Voters let a holder that renews its lease keep it, unless several entries
+// report it.
 func (m *Manager) ReportFailure(name string) {
 	now := m.options.Clock.Now()
 	m.mu.Lock()
@@ -357,7 +379,7 @@
 	if next == m.options.VM {
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		m.failures.addTakeovers([]string{name}, now)
+		m.failures.addTakeovers(m.options.VM, []string{name}, now)
 		return
 	}
 	m.link.Send(next, &wire.Envelope{Body: &wire.Envelope_LeaseNeed{LeaseNeed: &wire.LeaseNeed{Names: []string{name}}}})
--- a/lease/schedule_test.go
+++ b/lease/schedule_test.go
@@ -168,6 +168,9 @@
 			s.release(m.owner)
 		}
 	default:
+		if s.random.IntN(10) == 0 {
+			s.voters[m.voter].Contest(owner, names, s.voterNow(m.voter))
+		}
 		m.grants = s.voters[m.voter].Acquire(owner, m.seq, names, s.voterNow(m.voter))
 		s.send(m)
 	}
--- a/lease/voter.go
+++ b/lease/voter.go
@@ -2,6 +2,14 @@
 
 import "time"
 
+const (
+	// minTenure is the time for which an owner cannot be contested: a lease that moves more often
+	// costs more than a holder that some entries do not reach.
+	minTenure = 5 * time.Second
+	// contestTimeout is how long a contest lasts after the last request of the contender.
+	contestTimeout = time.Second
+)
+
 // Voter grants names to owners.
 type Voter struct {
 	startupWaitEnd time.Time
@@ -15,6 +23,15 @@
 	epoch uint64
 	// seq is the number of the owner's newest request.
 	seq uint64
+	// since is when the owner got the first of its grants, and contestedAt when another one last
+	// contested them.
+	since       time.Time
+	contestedAt time.Time
+}
+
+// yields reports whether the owner has to leave the name to a contender.
+func (g voterGrant) yields(now time.Time) bool {
+	return !g.contestedAt.IsZero() && now.Sub(g.contestedAt) < contestTimeout && now.Sub(g.since) >= minTenure
 }
 
 // NewVoter returns a voter that grants nothing before startupWaitEnd. That must be
@@ -36,20 +53,32 @@
 	return grants
 }
 
+// Contest notes that several entries are not served by the owners of names, and want another one
+// to have them. An owner whose grants are contested gets no further ones, so that they run out.
+func (v *Voter) Contest(contender Owner, names []string, now time.Time) {
+	for _, name := range names {
+		if old, known := v.grants[name]; known && old.owner != contender {
+			old.contestedAt = now
+			v.grants[name] = old
+		}
+	}
+}
+
 func (v *Voter) acquire(owner Owner, seq uint64, name string, now time.Time) Grant {
 	old, known := v.grants[name]
-	free := !known || old.owner == owner || now.After(old.until)
+	free := !known || now.After(old.until)
+	if known && old.owner == owner {
+		free = !old.yields(now)
+	}
 	if now.Before(v.startupWaitEnd) || !free || !known && len(v.grants) >= maxNames {
 		return Grant{Name: name, Epoch: old.epoch}
 	}
-	epoch := old.epoch
+	next := voterGrant{owner: owner, until: now.Add(Duration), epoch: old.epoch + 1, seq: seq, since: now}
 	if old.owner == owner {
-		seq = max(seq, old.seq)
-	} else {
-		epoch++
+		next.epoch, next.seq, next.since, next.contestedAt = old.epoch, max(seq, old.seq), old.since, old.contestedAt
 	}
-	v.grants[name] = voterGrant{owner: owner, until: now.Add(Duration), epoch: epoch, seq: seq}
-	return Grant{Name: name, Granted: true, Epoch: epoch}
+	v.grants[name] = next
+	return Grant{Name: name, Granted: true, Epoch: next.epoch}
 }
 
 // Release ends an owner's grants of names. A release that arrives after a later request
