Send a lagging replica its missing entries once

Each append that a replica rejects made the leader send the whole rest of its log again, up to a batch. After a cut, hundreds of heartbeats and appends wait in a link and are all rejected.

Now a reject starts a search without entries, in a round of its own: rejects of messages that were sent before are ignored. Entries follow once the log matches, and at most four batches of them are unanswered.

--- a/quorum/election.go
+++ b/quorum/election.go
@@ -110,7 +110,8 @@
 		if r.ID == n.id || n.progress[r.ID] != nil {
 			continue
 		}
-		n.progress[r.ID] = &progress{nextIndex: n.log.last() + 1, recentlyActive: true}
+		next := n.log.last() + 1
+		n.progress[r.ID] = &progress{nextIndex: next, firstSent: next, recentlyActive: true}
 	}
 	for id := range n.progress {
 		if _, ok := n.group.Get(id); !ok {
--- a/quorum/leader.go
+++ b/quorum/leader.go
@@ -17,7 +17,7 @@
 func (n *Node) replicate() {
 	for _, r := range n.group.replicas {
 		p := n.progress[r.ID]
-		if p != nil && p.inFlight < maxInFlightAppends {
+		if p != nil && !p.probing && p.inFlight < maxInFlightAppends {
 			n.sendAppend(r.ID, p)
 		}
 	}
--- a/quorum/node.go
+++ b/quorum/node.go
@@ -41,7 +41,7 @@
 	// progress is set on the leader only.
 	progress map[ID]*progress
 	votes    map[ID]bool
-	// round numbers the heartbeats that confirm reads.
+	// round numbers the messages that confirm reads, or begin to match a replica's log.
 	round          uint64
 	pendingReads   []pendingRead
 	transferTarget ID
@@ -59,13 +59,21 @@
 
 // progress is the leader's view of another replica's log.
 type progress struct {
-	matchIndex     uint64
-	nextIndex      uint64
+	matchIndex uint64
+	nextIndex  uint64
+	// firstSent is the first entry that was sent since the log was matched last.
+	firstSent      uint64
 	recentlyActive bool
 	// inFlight is the number of unanswered Append messages.
 	inFlight int
-	// pendingSnapshot is the index of the snapshot being sent, 0 if none.
+	// probing is set while it is not known where the replica's log matches.
+	probing bool
+	// sinceRound is the round in which the last probe or snapshot was sent.
+	sinceRound uint64
+	// pendingSnapshot is the index of the snapshot being sent, 0 if none, and snapshotTicks the
+	// number of ticks since it was sent.
 	pendingSnapshot uint64
+	snapshotTicks   int
 	// ackedRound is the highest round that the replica has answered.
 	ackedRound uint64
 }
@@ -193,6 +201,9 @@
 }
 
 func (n *Node) tickLeader() {
+	for _, p := range n.progress {
+		p.snapshotTicks++
+	}
 	n.broadcast()
 	if n.elapsedTicks < n.options.ElectionTicks {
 		return
@@ -216,8 +227,6 @@
 			activeVoters++
 		}
 		p.recentlyActive = false
-		// Resend a snapshot that was possibly lost.
-		p.pendingSnapshot = 0
 	}
 	return activeVoters >= n.group.QuorumSize()
 }
--- a/quorum/options.go
+++ b/quorum/options.go
@@ -9,6 +9,9 @@
 	initialElectionTicks = 2
 	// maxInFlightAppends limits the unanswered Append messages per replica.
 	maxInFlightAppends = 64
+	// maxInFlightBatches limits the data of the unanswered entries per replica, which are sent again
+	// if a message is lost.
+	maxInFlightBatches = 4
 	// trailingEntries is the number of entries before a snapshot that stay in memory.
 	trailingEntries = 512
 )
--- a/quorum/replication.go
+++ b/quorum/replication.go
@@ -37,6 +37,8 @@
 	}
 }
 
+// sendAppend sends a replica the entries that it is not known to have been sent, or none while its
+// log is being matched or its window is full.
 func (n *Node) sendAppend(to ID, p *progress) {
 	if p.pendingSnapshot != 0 {
 		n.sendHeartbeat(to, p.matchIndex)
@@ -48,7 +50,10 @@
 		n.sendSnapshot(to, p)
 		return
 	}
-	entries := slices.Clone(n.log.entriesFrom(p.nextIndex, n.options.BatchBytes))
+	var entries []Entry
+	if n.hasRoom(p) {
+		entries = slices.Clone(n.log.entriesFrom(p.nextIndex, n.options.BatchBytes))
+	}
 	n.send(Message{
 		Kind: Append, To: to, Index: previous, LogTerm: term,
 		Entries: entries, CommitIndex: n.commitIndex, Round: n.round,
@@ -57,6 +62,33 @@
 	p.inFlight++
 }
 
+// hasRoom reports whether entries may be sent to a replica: its log matches, as far as is known, up
+// to nextIndex, and the data of the unanswered entries leaves room in the window.
+func (n *Node) hasRoom(p *progress) bool {
+	if p.probing {
+		return false
+	}
+	first := max(p.matchIndex+1, p.firstSent, n.log.baseIndex+1)
+	if first >= p.nextIndex {
+		return true
+	}
+	size := 0
+	for _, e := range n.log.slice(first, p.nextIndex-1) {
+		size += len(e.Data)
+		if size >= maxInFlightBatches*n.options.BatchBytes {
+			return false
+		}
+	}
+	return true
+}
+
+// startRound begins a new round of answers: a reject of an earlier one tells nothing new, since its
+// message was sent before the leader changed what it sends.
+func (n *Node) startRound(p *progress) {
+	n.round++
+	p.sinceRound = n.round
+}
+
 // sendHeartbeat keeps a replica from campaigning while a snapshot is being sent.
 func (n *Node) sendHeartbeat(to ID, match uint64) {
 	term, ok := n.log.term(match)
@@ -68,7 +100,8 @@
 
 func (n *Node) sendSnapshot(to ID, p *progress) {
 	s := n.snapshot
-	p.pendingSnapshot = s.Index
+	p.pendingSnapshot, p.snapshotTicks = s.Index, 0
+	n.startRound(p)
 	n.send(Message{Kind: InstallSnapshot, To: to, Snapshot: &s, CommitIndex: n.commitIndex, Round: n.round})
 }
 
@@ -178,13 +211,14 @@
 	if m.Index > n.log.last() {
 		return
 	}
-	if p.pendingSnapshot != 0 && m.Index >= p.pendingSnapshot {
-		p.pendingSnapshot = 0
+	n.updateSnapshot(m, p)
+	if m.Round >= p.sinceRound {
+		p.probing = false
 	}
 	p.matchIndex = max(p.matchIndex, m.Index)
 	p.nextIndex = max(p.nextIndex, p.matchIndex+1)
 	n.advanceCommit()
-	if p.nextIndex <= n.log.last() && p.inFlight < maxInFlightAppends {
+	if p.pendingSnapshot == 0 && p.nextIndex <= n.log.last() && p.inFlight < maxInFlightAppends && n.hasRoom(p) {
 		n.sendAppend(m.From, p)
 	}
 	if n.transferTarget == m.From && p.matchIndex == n.log.last() {
@@ -192,11 +226,25 @@
 	}
 }
 
+// updateSnapshot ends the wait for a snapshot that was installed, or that was lost: the replica has
+// answered a later message without it.
+func (n *Node) updateSnapshot(m Message, p *progress) {
+	lost := m.Round >= p.sinceRound && p.snapshotTicks >= n.options.ElectionTicks
+	if m.Index >= p.pendingSnapshot || lost {
+		p.pendingSnapshot = 0
+	}
+}
+
+// handleReject looks for the last entry that the replica's log has in common, without sending it
+// any. Messages that were sent meanwhile are rejected as well, and must not each cause a resend.
 func (n *Node) handleReject(m Message, p *progress) {
-	if m.Index <= p.matchIndex {
+	if m.Index <= p.matchIndex || m.Round < p.sinceRound {
 		return
 	}
 	p.nextIndex = max(p.matchIndex, min(m.Hint, m.Index-1)) + 1
+	p.firstSent = p.nextIndex
+	p.probing = true
+	n.startRound(p)
 	n.sendAppend(m.From, p)
 }
 
