Check answers before they are read as HTTP, and tell a reset from an end

Cause: the operating system reports a reset once. If the write of an upload learns of it first, the next read sees what looks like the server's regular end, so a body without a length that was cut by a reset reached the caller as whole; a relay passed it on as a regular end. And net/http takes heads that are none (status 000 and 099, a blank before the colon, folded lines, a length beside chunks), and handing on a status of 000 panicked.

Change: package answer follows the raw bytes of a connection and refuses what is no answer, before net/http's parser sees it; io.EOF is passed on only if nothing failed before. What fails is a torn attempt: 502 with its outcome, or another server where the request may run twice. A write that failed is held back while an answer that arrived before it is read, so a reset after a whole answer changes nothing. Panics of the data path are counted, logged and answered.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -35,6 +35,8 @@
 	leaving bool
 	// pause is the time for which the backend server wants no further request from this VM.
 	pause time.Duration
+	// reported is set once the picker was told the result.
+	reported bool
 }
 
 // rejectedRetryAfter is the shortest retry delay after all attempts of a request were rejected
@@ -75,6 +77,27 @@
 	}
 }
 
+// errPanicked is the cause of attempts that panicked, which is not the backend server's fault.
+var errPanicked = errors.New("the attempt could not be handled")
+
+// runSafely sends the request once. A panic ends the attempt, not the process.
+func (a *attempt) runSafely(ctx context.Context, deadline *requestDeadline) (response *backendResponse, f *failure) {
+	started := time.Now()
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		a.exchange.notePanic(cause)
+		a.abortConn()
+		if !a.reported {
+			a.report(health.Cancelled, time.Since(started))
+		}
+		response, f = nil, &failure{kind: health.Cancelled, outcome: Unknown, reachedBackend: true, cause: errPanicked}
+	}()
+	return a.run(ctx, deadline)
+}
+
 // run sends the request once.
 func (a *attempt) run(ctx context.Context, deadline *requestDeadline) (*backendResponse, *failure) {
 	started := time.Now()
@@ -189,6 +212,7 @@
 	if a.conn != nil && a.conn.bytesWritten() != a.connOffset {
 		a.sentOnEarlierConn = true
 	}
+	conn.begin(a.exchange.request.Method)
 	a.conn, a.connOffset = conn, conn.bytesWritten()
 }
 
@@ -222,6 +246,7 @@
 }
 
 func (a *attempt) report(kind health.Kind, latency time.Duration) {
+	a.reported = true
 	a.exchange.handler.metrics.attempts.WithLabelValues(string(kind)).Inc()
 	a.logAttempt(kind, latency, a.detail)
 	a.choice.Done(health.Result{Kind: kind, Latency: latency, Cold: a.cold, Limit: a.limit, Leaving: a.leaving, Pause: a.pause, Print: a.exchange.fingerprint()})
--- a/proxy/log.go
+++ b/proxy/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"runtime/debug"
 	"time"
 
 	"github.com/dottereldeal/dottereldeal/guard"
@@ -28,12 +29,23 @@
 			slog.String("result", string(kind)), slog.String("relay", a.relay()), slog.Duration("latency", latency), slog.String("detail", detail))...)
 }
 
+// maxStackBytes bounds the stack in the line of a panic; its first frames tell the cause.
+const maxStackBytes = 2 << 10
+
+// notePanic counts and logs a panic while a request was handled.
+func (x *exchange) notePanic(cause any) {
+	x.handler.metrics.panics.Inc()
+	stack := debug.Stack()
+	x.handler.options.Logger.LogAttrs(x.request.Context(), slog.LevelError, "request panicked",
+		append(x.attrs(), slog.Any("cause", cause), slog.String("stack", string(stack[:min(len(stack), maxStackBytes)])))...)
+}
+
 // relay returns the VM through which the attempt's connection leads, or an empty string.
 func (a *attempt) relay() string {
 	if a.conn == nil {
 		return ""
 	}
-	if conn, relayed := a.conn.Conn.(interface{ Relay() string }); relayed {
+	if conn, relayed := a.conn.Conn.Conn.(interface{ Relay() string }); relayed {
 		return conn.Relay()
 	}
 	return ""
@@ -54,8 +66,10 @@
 	if print := x.fingerprint(); print != (guard.Print{}) {
 		attrs = append(attrs, slog.String("print", print.String()))
 	}
-	return append(attrs, slog.Uint64("state", x.config.State.Index()),
-		slog.Duration("age", x.handler.options.Clock.Now().Sub(x.receivedAt)))
+	if x.config != nil {
+		attrs = append(attrs, slog.Uint64("state", x.config.State.Index()))
+	}
+	return append(attrs, slog.Duration("age", x.handler.options.Clock.Now().Sub(x.receivedAt)))
 }
 
 // logNoRetry logs why a request that could be retried or hedged is not.
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -13,6 +13,7 @@
 	attempts  *prometheus.CounterVec
 	retries   *prometheus.CounterVec
 	truncated prometheus.Counter
+	panics    prometheus.Counter
 }
 
 func newMetrics(m *meter.Meter) *metrics {
@@ -22,5 +23,6 @@
 		attempts:  m.CounterVec("attempts_total", "Attempts to send a request to a backend server, by result.", "result"),
 		retries:   m.CounterVec("retries_total", "Retries and hedged attempts, by reason.", "reason"),
 		truncated: m.Counter("answers_cut_total", "Truncated responses, signalled to the caller by closing the connection."),
+		panics:    m.Counter("panics_total", "Requests and attempts that ended in a panic."),
 	}
 }
--- a/proxy/problem.go
+++ b/proxy/problem.go
@@ -56,6 +56,7 @@
 	problemNoTarget          = problem{status: http.StatusServiceUnavailable, kind: "no-backend-server", title: "No backend server can take the request", outcome: NotRun, retryAfter: time.Second}
 	problemQuarantined       = problem{status: http.StatusServiceUnavailable, kind: "quarantined", title: "Backend servers crashed while they ran this request", outcome: NotRun}
 	problemDeadline          = problem{status: http.StatusGatewayTimeout, kind: "deadline", title: "The deadline has passed"}
+	problemInternal          = problem{status: http.StatusInternalServerError, kind: "internal", title: "The request could not be handled"}
 	problemBackendFailed     = problem{status: http.StatusBadGateway, kind: "backend-server-failed", title: "The backend server gave no whole answer"}
 )
 
@@ -129,5 +130,6 @@
 		header.Set("WWW-Authenticate", x.handler.options.KeyScheme)
 	}
 	x.writer.WriteHeader(p.status)
+	x.begun = true
 	x.writer.Write(body)
 }
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -102,11 +102,16 @@
 	// print identifies the request among all entries. It is the zero value if too little of the
 	// body arrived in time; see fingerprint.
 	print guard.Print
+	// attempted is set once an attempt was started, begun once an answer was.
+	attempted, begun bool
 }
 
+// ServeHTTP implements http.Handler. It panics with http.ErrAbortHandler to break off an answer that
+// must not look complete, and in no other way.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.metrics.requests.Inc()
 	x := &exchange{handler: h, writer: w, request: r, receivedAt: h.options.Clock.Now()}
+	defer x.endPanic()
 	x.awaitConfig()
 	x.config = h.options.ConfigFunc()
 	if p, refused := x.admit(); refused {
@@ -116,6 +121,27 @@
 	x.forward()
 }
 
+// endPanic answers a request whose handling has panicked.
+func (x *exchange) endPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause == http.ErrAbortHandler {
+		panic(cause)
+	}
+	x.notePanic(cause)
+	if x.begun {
+		panic(http.ErrAbortHandler)
+	}
+	clear(x.writer.Header())
+	outcome := NotRun
+	if x.attempted {
+		outcome = Unknown
+	}
+	x.refuse(problemInternal.withOutcome(outcome))
+}
+
 // awaitConfig waits, for a limited time, for the first configuration after the start
 // of this VM.
 func (x *exchange) awaitConfig() {
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -119,7 +119,7 @@
 }
 
 // acceptRaw listens until the test ends and serves every connection by itself.
-func acceptRaw(t *testing.T, serve func(*net.TCPConn)) net.Listener {
+func acceptRaw(t testing.TB, serve func(*net.TCPConn)) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -148,6 +148,7 @@
 		header.Set("Content-Length", strconv.Itoa(len(r.buffered)))
 	}
 	x.writer.WriteHeader(r.response.StatusCode)
+	x.begun = true
 	if len(r.buffered) > 0 {
 		if err := x.handler.sent.write(ctx, x.writer, r.buffered); err != nil {
 			panic(http.ErrAbortHandler) // the response must not look complete
--- a/proxy/retry.go
+++ b/proxy/retry.go
@@ -120,8 +120,9 @@
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	l.cancels = append(l.cancels, cancel)
 	a := &attempt{exchange: l.exchange, choice: choice}
+	l.exchange.attempted = true
 	go func() {
-		response, failure := a.run(attemptCtx, l.deadline)
+		response, failure := a.runSafely(attemptCtx, l.deadline)
 		l.results <- attemptResult{response: response, failure: failure, index: index}
 	}()
 	return nil
--- a/proxy/transport.go
+++ b/proxy/transport.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/dottereldeal/dottereldeal/fleet"
 )
 
@@ -29,48 +27,6 @@
 	maxResponseHeaderBytes = 64 << 10
 )
 
-// errConnAborted is returned by writes to a connection that was aborted.
-var errConnAborted = errors.New("connection was aborted")
-
-// countingConn counts the bytes written to a connection. After abort the count is final,
-// so that it tells exactly whether a request has left this VM.
-type countingConn struct {
-	net.Conn
-
-	mu      sync.Mutex
-	written uint64
-	aborted bool
-}
-
-func (c *countingConn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.aborted {
-		return 0, errConnAborted
-	}
-	n, err := c.Conn.Write(p)
-	c.written += uint64(n)
-	return n, err
-}
-
-func (c *countingConn) bytesWritten() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.written
-}
-
-// abort prevents further writes, closes the connection and returns the number of bytes
-// written.
-func (c *countingConn) abort() uint64 {
-	// A blocked write holds the lock; a deadline in the past unblocks it.
-	c.Conn.SetWriteDeadline(time.Unix(1, 0))
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.aborted = true
-	c.Conn.Close()
-	return c.written
-}
-
 // transports holds the HTTP transports of all backend servers.
 type transports struct {
 	entryCount func() int
@@ -145,7 +101,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countingConn{Conn: conn}, nil
+			return newCountingConn(conn), nil
 		},
 		DisableCompression:  true,
 		MaxConnsPerHost:     limit,
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -252,3 +252,37 @@
 	is.True(e1.path.relaysFail(time.Now().Add(relaySilence + time.Millisecond)))
 	e1.mu.Unlock()
 }
+
+// A server resets its connection while an upload through a relay is being written. The relay must not
+// pass that on as the server's regular end, and what the server has sent before still arrives.
+func TestResetDuringAnUploadThroughARelayIsNoRegularEnd(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for delay := time.Duration(0); ; delay += time.Millisecond {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			io.WriteString(conn, "part")
+			time.Sleep(delay)
+			conn.(*net.TCPConn).SetLinger(0)
+			conn.Close()
+		}
+	}()
+	addr := listener.Addr().String()
+	f := newFixture(t, []string{"e1", "e2"}, 1, addr)
+	for range 25 {
+		is := is.New(t)
+		conn, err := f.network.dialers["e1"].Dial(context.Background(), addr)
+		is.NoErr(err)
+		go conn.Write(make([]byte, 16<<20))
+		data, err := io.ReadAll(conn)
+		conn.Close()
+		is.True(err != nil) // looks like the server's regular end
+		is.Equal(string(data), "part")
+	}
+}
--- a/relay/tunnel.go
+++ b/relay/tunnel.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/dottereldeal/dottereldeal/answer"
 )
 
 // A relay answers a tunnel with one status byte. The bytes of the caller's side follow as they
@@ -166,6 +168,10 @@
 	go func() {
 		defer close(done)
 		io.Copy(server, tunnel)
+		if server.Failed() {
+			// The server takes no more, but what it has sent before is still passed on.
+			io.Copy(io.Discard, tunnel)
+		}
 		// The entry has closed the tunnel or was lost, so nobody waits for an answer.
 		server.Close()
 	}()
@@ -179,7 +185,7 @@
 }
 
 // connectFor connects to a server for another entry.
-func (d *Dialer) connectFor(addr string) (net.Conn, byte) {
+func (d *Dialer) connectFor(addr string) (*answer.Conn, byte) {
 	if !d.options.IsServer(addr) || !d.beginServed() {
 		return nil, statusRefused
 	}
@@ -193,7 +199,8 @@
 		return nil, statusUnreachable
 	}
 	d.path.connected()
-	return d.track(conn), statusConnected
+	// A reset must not reach the entry as the server's regular end.
+	return answer.NewConn(d.track(conn)), statusConnected
 }
 
 // beginServed counts a tunnel and reports whether this VM can serve it.
