--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -267,6 +267,8 @@
 			if err != nil {
 				return
 			}
+			// A reset that comes before the relay has seen its connection open is a failure to connect.
+			io.ReadFull(conn, make([]byte, 1))
 			io.WriteString(conn, "part")
 			time.Sleep(delay)
 			conn.(*net.TCPConn).SetLinger(0)
