Check roll-outs in the state and drop them with their pool

A roll-out of an unknown pool, without version or duration, or with a share beyond 0 to 1 is refused, as is a change of one that has ended and an order beside one that is running, so that neither a late order nor a late decision of a previous leader changes an outcome. It stays through new configurations while its pool does. It holds the time since the order, so that a new leader knows its deadline.

--- a/event/event.go
+++ b/event/event.go
@@ -34,6 +34,7 @@
 	TicketInForce      Kind = "ticket-in-force"
 	OrderProposed      Kind = "order-proposed"
 	OrderDropped       Kind = "order-dropped"
+	RolloutDecided     Kind = "rollout-decided"
 	StateApplied       Kind = "state-applied"
 	StateConfirmed     Kind = "state-confirmed"
 	DeltaFailed        Kind = "delta-failed"
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -143,6 +143,7 @@
 		return l.applyPlan(index, p)
 	}
 	p.Ticket.Set = l.resolveRegistrations(p.Ticket.Set)
+	p.Ticket.Remove = l.withRollouts(p.Ticket.Remove)
 	if p.Ticket.Number == SystemNumber && len(p.Ticket.Set)+len(p.Ticket.Remove) == 0 {
 		return l, Outcome{Verdict: Stale}
 	}
--- a/ledger/plan.go
+++ b/ledger/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 
 	"github.com/dottereldeal/dottereldeal/state"
 )
@@ -58,9 +59,24 @@
 			change.Remove = append(change.Remove, record.Ref)
 		}
 	}
+	change.Remove = l.withRollouts(change.Remove)
 	return change
 }
 
+// withRollouts adds the roll-outs of the pools among the objects to remove: a roll-out goes with
+// its pool.
+func (l Ledger) withRollouts(remove []state.Ref) []state.Ref {
+	all := slices.Clone(remove)
+	for _, ref := range remove {
+		rollout := state.Ref{Kind: state.KindRollout, Name: ref.Name}
+		record, ok := l.state.Record(rollout)
+		if ref.Kind == state.KindPool && ok && record.Object != nil && !slices.Contains(remove, rollout) {
+			all = append(all, rollout)
+		}
+	}
+	return all
+}
+
 // inPlan reports whether plans contain objects of a kind.
 func inPlan(k state.Kind) bool {
 	return k == state.KindWorkspace || k == state.KindPool || k == state.KindRoute
--- a/state/change.go
+++ b/state/change.go
@@ -21,6 +21,8 @@
 	Stale ProblemKind = "stale"
 	// KeyInUse means that a key already belongs to another workspace.
 	KeyInUse ProblemKind = "taken"
+	// Invalid means that an object has an invalid value, or may not follow the present one.
+	Invalid ProblemKind = "invalid"
 )
 
 // Problem describes why a change is rejected.
@@ -196,11 +198,24 @@
 		return problems
 	case Workspace:
 		return o.checkKeys(object)
+	case Rollout:
+		return o.checkRollout(object)
 	default:
 		return nil
 	}
 }
 
+func (o overlay) checkRollout(r Rollout) []Problem {
+	if !o.exists(Ref{KindPool, r.Pool}) {
+		return []Problem{{Dangling, r.Ref(), fmt.Sprintf("pool %q of the roll-out does not exist", r.Pool)}}
+	}
+	present, exists := Get[Rollout](o.state, r.Pool)
+	if text := r.problem(present, exists); text != "" {
+		return []Problem{{Invalid, r.Ref(), fmt.Sprintf("roll-out of pool %q to version %q: %s", r.Pool, r.Version, text)}}
+	}
+	return nil
+}
+
 func (o overlay) checkKeys(w Workspace) []Problem {
 	var problems []Problem
 	for _, d := range w.KeyDigests {
--- a/state/object.go
+++ b/state/object.go
@@ -335,11 +335,49 @@
 	// Share is the part of the pool's requests, 0 to 1, that the servers of Version get while the
 	// roll-out is running.
 	Share float64 `json:"share"`
+	// OrderedMillis is the wall-clock time of the order in Unix milliseconds, at the VM that
+	// accepted it. A control process that starts later has nothing else to go by.
+	OrderedMillis int64 `json:"ordered-ms"`
+	// Elapsed is the time since the order when the leader last changed the roll-out.
+	Elapsed Duration `json:"elapsed"`
+	// Rejected is the version that the last roll-out of the pool was rolled back from. Its
+	// servers get nothing while there are others.
+	Rejected string `json:"rejected,omitempty"`
+	// Reason says why the leader last changed the roll-out.
+	Reason string `json:"reason,omitempty"`
 }
 
 // Ref returns the reference to the roll-out.
 func (r Rollout) Ref() Ref { return Ref{KindRollout, r.Pool} }
 
+// WithStep returns a copy of the roll-out with the decision of the leader.
+func (r Rollout) WithStep(phase RolloutPhase, share float64, elapsed time.Duration, reason string) Rollout {
+	r.Phase, r.Share, r.Elapsed, r.Reason = phase, share, Duration(elapsed), reason
+	return r
+}
+
+// problem returns why the roll-out cannot follow the present one of its pool, or "".
+func (r Rollout) problem(present Rollout, exists bool) string {
+	switch {
+	case r.Version == "":
+		return "version is missing"
+	case r.Duration <= 0:
+		return "duration is not positive"
+	case !(r.Share >= 0 && r.Share <= 1):
+		return "share is not between 0 and 1"
+	case r.Phase != RolloutRunning && r.Phase != RolloutCompleted && r.Phase != RolloutRolledBack:
+		return "phase is unknown"
+	case !exists:
+		return ""
+	case r.Version != present.Version && present.Phase == RolloutRunning:
+		return "a roll-out to another version is running"
+	case r.Version == present.Version && present.Phase != RolloutRunning && r != present:
+		return "the roll-out has ended"
+	default:
+		return ""
+	}
+}
+
 // Encode returns the canonical encoding of an object.
 func Encode(o Object) ([]byte, error) { return json.Marshal(o) }
 
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -396,3 +396,40 @@
 		is.Equal(last.Len(), s.Len())
 	}
 }
+
+// Guards against a roll-out that changes after its end, and against one that replaces another
+// which is still running.
+func TestRolloutsEndForGood(t *testing.T) {
+	is := is.New(t)
+	order := state.Rollout{Pool: "p", Version: "v2", Duration: state.Duration(time.Second), Phase: state.RolloutRunning}
+	next := order
+	next.Version = "v3"
+	at := uint64(1)
+	apply := func(s state.State, o state.Object) (state.State, int) {
+		at++
+		after, problems := s.WithChange(state.Change{Index: at, Set: []state.Object{o}})
+		return after, len(problems)
+	}
+	s, refused := apply(state.State{}, order)
+	is.Equal(refused, 1) // the pool does not exist
+	s, _ = apply(s, state.Pool{Name: "p"})
+	for _, bad := range []state.Rollout{
+		{Pool: "p", Duration: 1, Phase: state.RolloutRunning}, {Pool: "p", Version: "v2", Phase: state.RolloutRunning},
+		{Pool: "p", Version: "v2", Duration: 1}, order.WithStep(state.RolloutRunning, 1.5, 0, ""),
+	} {
+		_, refused = apply(s, bad)
+		is.Equal(refused, 1)
+	}
+	s, refused = apply(s, order)
+	is.Equal(refused, 0)
+	_, refused = apply(s, next)
+	is.Equal(refused, 1) // another one is running
+	s, refused = apply(s, order.WithStep(state.RolloutRolledBack, 0, time.Second, "bad"))
+	is.Equal(refused, 0)
+	for _, late := range []state.Rollout{order, order.WithStep(state.RolloutRunning, 1, 0, ""), order.WithStep(state.RolloutCompleted, 1, 0, "")} {
+		_, refused = apply(s, late)
+		is.Equal(refused, 1)
+	}
+	_, refused = apply(s, next)
+	is.Equal(refused, 0)
+}
