Decide on roll-outs of a version on the control leader

The platform's orders of roll-outs were refused: nothing knew versions. An order is now recorded in the log, and the leader moves the requests in a few steps, completes or rolls back. The trial stays at a few per cent until late: a version that turns bad has got little by then. In doubt the share stays; without evidence the version is rolled back at its deadline. Reports of the holders of cells are passed on to the leader.

All of it is switched on by the platform's bound 'rollback': without it no version is recorded, no order is known and states are as before. Servers of both versions count once for the division of a pool.

Tests: go test ./canary ./platform ./state ./ledger ./event; go test ./ctrl -run 'Rollout|BadVersion|Division'.

--- a/ctrl/ctrl.go
+++ b/ctrl/ctrl.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/dottereldeal/dottereldeal/event"
 	"github.com/dottereldeal/dottereldeal/ledger"
@@ -83,6 +84,9 @@
 	requests    requestTable
 	// foundersMissing is the number of founders that the first group waits for.
 	foundersMissing atomic.Int64
+	// runningCount is the number of roll-outs that are running.
+	runningCount     atomic.Int64
+	rolloutDecisions *prometheus.CounterVec
 
 	// The fields below are used by the event loop only.
 	vms          map[quorum.ID]string
@@ -97,6 +101,11 @@
 	// index of the state that was checked.
 	lastDivisionCheck time.Time
 	dividedIndex      uint64
+	// rollouts holds the roll-outs of the state at rolloutIndex, by pool, and lastRolloutCheck the
+	// time of the last decisions on them.
+	rollouts         map[string]*rollout
+	rolloutIndex     uint64
+	lastRolloutCheck time.Time
 	// pushScheduled is set while committed changes wait for the next push. lastPush is the
 	// time of the last one, and pushedIndex the index of the state that it contained.
 	pushScheduled bool
@@ -162,11 +171,14 @@
 		joining:          make(map[string]joiningReplica),
 		lastHeard:        make(map[quorum.ID]time.Time),
 		contacts:         make(contacts),
+		rollouts:         make(map[string]*rollout),
 	}
 	c.seeds = c.options.Seeds
 	c.remoteGroup.Store(&quorum.Group{})
 	c.started = c.options.Clock.Now()
 	c.options.Meter.GaugeFunc("founders_missing", "Control VMs that the first group waits for.", c.missingFounderCount)
+	c.options.Meter.GaugeFunc("rollouts_running", "Roll-outs of a version that are running.", func() float64 { return float64(c.runningCount.Load()) })
+	c.rolloutDecisions = c.options.Meter.CounterVec("rollout_decisions_total", "Changes of roll-outs that this process decided on as the leader.", "action")
 	if err := c.open(); err != nil {
 		return nil, err
 	}
@@ -320,6 +332,7 @@
 	c.tickInForce(now)
 	c.tickVoters(now)
 	c.tickDivisions(now)
+	c.tickRollouts(now)
 }
 
 // Ledger returns the latest state that this replica has applied.
--- a/ctrl/division.go
+++ b/ctrl/division.go
@@ -46,11 +46,14 @@
 	}
 }
 
-// serversByDataCentre counts the servers of each pool in each data centre.
+// serversByDataCentre counts the servers of each pool in each data centre. Where a roll-out has
+// started those of a version beside the others, only the versions that go on to serve count: the
+// pool has twice its servers for a short time, and each change of a division costs new holders.
 func serversByDataCentre(s state.State) map[string]map[string]int {
 	counts := make(map[string]map[string]int)
 	for _, t := range state.List[state.Target](s) {
-		if t.Phase == state.TargetGone {
+		r, ok := state.Get[state.Rollout](s, t.Pool)
+		if t.Phase == state.TargetGone || ok && (t.Version == r.Version) != (r.Phase == state.RolloutCompleted) {
 			continue
 		}
 		if counts[t.Pool] == nil {
--- a/ctrl/group_test.go
+++ b/ctrl/group_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/dottereldeal/dottereldeal/canary"
 	"github.com/dottereldeal/dottereldeal/clock"
 	"github.com/dottereldeal/dottereldeal/fake"
 	"github.com/dottereldeal/dottereldeal/quorum"
@@ -74,7 +75,8 @@
 		timers := clock.New()
 		silent := &atomic.Bool{}
 		control, err := New(&fullFolder{folder, &g.full[i]}, l, VM(g.vm(i)), Advertise(g.addrs[i]), Seeds(g.addrs[:groupSeeds]),
-			Bootstrap(bootstrap), MaxFailures(groupFailures), Clock(timers), Drop(func(string) bool { return silent.Load() }))
+			Bootstrap(bootstrap), MaxFailures(groupFailures), Clock(timers), Drop(func(string) bool { return silent.Load() }),
+			Rollouts(canary.Bounds{Share: 0.1, Slack: 50, Rollback: 5 * time.Second}))
 		if err != nil {
 			g.tb.Fatal(err)
 		}
--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -26,6 +26,8 @@
 		c.serveProposal(from, body.ProposalAsk)
 	case *wire.Envelope_ReadAsk:
 		c.serveRead(from, body.ReadAsk)
+	case *wire.Envelope_RolloutReport:
+		c.enqueue(func() { c.handleRolloutReport(from, e) })
 	case *wire.Envelope_ProposalAnswer:
 		c.requests.complete(body.ProposalAnswer.GetSeq(), e)
 	case *wire.Envelope_ReadAnswer:
--- a/ctrl/options.go
+++ b/ctrl/options.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/dottereldeal/dottereldeal/canary"
 	"github.com/dottereldeal/dottereldeal/cert"
 	"github.com/dottereldeal/dottereldeal/clock"
 	"github.com/dottereldeal/dottereldeal/conf"
@@ -45,10 +46,13 @@
 	Advertise netip.AddrPort
 	// MaxFailures is the number of simultaneous control VM failures to tolerate.
 	MaxFailures int
-	Clock       clock.Clock
-	EventLog    *event.Log
-	Meter       *meter.Meter
-	Identity    *cert.Identity
+	// Rollouts bounds what a bad version may get in a roll-out. The leader decides on roll-outs
+	// only if it is set.
+	Rollouts *canary.Bounds
+	Clock    clock.Clock
+	EventLog *event.Log
+	Meter    *meter.Meter
+	Identity *cert.Identity
 	// Drop reports whether messages to a VM are dropped, for tests.
 	Drop func(to string) bool
 }
@@ -77,6 +81,9 @@
 // MaxFailures sets the number of simultaneous control VM failures to tolerate.
 func MaxFailures(n int) Option { return func(o *Options) { o.MaxFailures = n } }
 
+// Rollouts switches roll-outs on, with the bounds of what a bad version may get.
+func Rollouts(b canary.Bounds) Option { return func(o *Options) { o.Rollouts = &b } }
+
 // Clock sets the timer service.
 func Clock(s clock.Clock) Option { return func(o *Options) { o.Clock = s } }
 
--- a/pool/cell.go
+++ b/pool/cell.go
@@ -22,7 +22,7 @@
 // without leaving theirs.
 
 // cellSeparator separates the name of a pool from the part that names the cell.
-const cellSeparator = "@"
+const cellSeparator = state.CellSeparator
 
 // cellOf returns the cell of a server.
 func cellOf(t fleet.Target, d state.Division) string {
@@ -34,15 +34,7 @@
 }
 
 // poolOfCell returns the pool that a cell belongs to.
-func poolOfCell(cell string, s state.State) string {
-	if _, isPool := state.Get[state.Pool](s, cell); isPool {
-		return cell
-	}
-	if at := strings.LastIndex(cell, cellSeparator); at >= 0 {
-		return cell[:at]
-	}
-	return cell
-}
+func poolOfCell(cell string, s state.State) string { return s.PoolOfCell(cell) }
 
 // LeaseName returns the name of the lease of a cell.
 func LeaseName(cell string) string { return leasePrefix + cell }
--- a/prog/control.go
+++ b/prog/control.go
@@ -44,10 +44,10 @@
 		}
 		c := controlProcess{
 			process: newProcess(common, identity, listeners, s), found: found, bounds: bounds,
-			options: []ctrl.Option{
+			options: append([]ctrl.Option{
 				ctrl.Replicas(*replicas), ctrl.Seeds(found.links(*common.listen)), ctrl.Bootstrap(*founding),
 				ctrl.Advertise(*advertise), ctrl.MaxFailures(*losses),
-			},
+			}, platform.ControlOptions(bounds)...),
 		}
 		return c.run(set, *folder)
 	}
