Judge versions beside gray servers that are not known yet

Up to a third of the servers of a pool are gray at any time; those of the old version have been ejected, those of a new one are not known when its trial begins, so that a good version fails up to a fifth of its requests at first. A version is condemned for a quarter more failures than the others, with a certainty that is higher during the trial, where waiting costs little. The trial begins when most servers are warm: cold ones are slower.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -65,9 +65,11 @@
 	// which it has done so on all VMs.
 	Share   float64
 	InForce time.Duration
-	// Servers and Others are the numbers of warm servers of the new version and of others.
+	// Servers is the number of warm servers of the new version, Cold that of its others, and
+	// Others that of servers of other versions.
 	Servers int
 	Others  int
+	Cold    int
 }
 
 // Action is what a decision changes.
@@ -92,10 +94,12 @@
 
 const (
 	// minServers is the number of warm servers that a version starts with: among fewer, one
-	// faulty server looks like a faulty version. startShare is the part of the duration after
-	// which it starts with what there is.
+	// faulty server looks like a faulty version. maxCold is the part of cold ones beside them,
+	// which are slower. startShare is the part of the duration after which it starts with what
+	// there is.
 	minServers = 4
-	startShare = 0.25
+	maxCold    = 0.25
+	startShare = 0.4
 	// trialBudget is the part of the bounded share that the trial may use, and slackBudget that
 	// of the slack. The rest is for the rise, and for the time until a decision is in force.
 	trialBudget = 0.2
@@ -170,7 +174,7 @@
 		j.share, j.base, j.since = s.Share, j.evidence.totals.clone(), now
 	}
 	j.evidence.mark(now)
-	doubt, fault := j.evidence.verdict(now, s.Servers)
+	doubt, fault := j.evidence.verdict(now, s.Servers, s.Share <= rises[0])
 	if fault != "" {
 		return Decision{Action: RollBack, Reason: fault}
 	}
@@ -241,8 +245,9 @@
 func (j *Judge) rise(s Situation, now time.Time) Decision {
 	next := nextRise(s.Share)
 	trialEnd := j.due(rises[0])
+	ready := s.Servers >= minServers && float64(s.Cold) <= maxCold*float64(s.Servers+s.Cold)
 	switch {
-	case s.Share == 0 && (s.Servers >= minServers || s.Elapsed >= time.Duration(startShare*float64(j.order.Duration))):
+	case s.Share == 0 && (ready || s.Elapsed >= time.Duration(startShare*float64(j.order.Duration))):
 		return Decision{Action: Raise, Share: j.trial(s, trialEnd), Reason: fmt.Sprintf("trial with %d servers", s.Servers)}
 	case s.Share == 0:
 		return Decision{Action: Hold, Reason: "few servers of the version are warm"}
--- a/canary/compare.go
+++ b/canary/compare.go
@@ -16,25 +16,26 @@
 	minOther = 20
 	// minMoment is the same between two marks: their sums over a window say more than each.
 	minMoment = 5
-	// faultBound and doubtBound are the numbers of standard errors by which versions must
-	// differ to condemn one, or to hold its share. A hundred comparisons are made in a
-	// roll-out, and faulty servers make results less independent than these errors assume.
-	faultBound = 3.7
-	doubtBound = 2.0
-	// maxFailures is the part of failures beyond that of the others that condemns a version:
-	// above what faulty servers and their ejection leave, far below half of the results.
-	maxFailures = 0.12
-	// maxLasting is the same for at least lastingResults results over all time, of many servers.
-	maxLasting     = 0.06
-	lastingResults = 300
-	lastingServers = 12
+	// faultBound and doubtBound are the numbers of standard errors by which a version must
+	// exceed the limits to be condemned, or to keep its share. A hundred comparisons are made in
+	// a roll-out, and faulty servers make results less independent than these errors assume.
+	// Beyond the trial each moment costs more requests than the whole trial does, so that less
+	// is waited for there.
+	faultBound = 3.0
+	riseBound  = 1.6
+	doubtBound = 1.0
+	// maxFailures is the part of failures beyond that of the others that condemns a version. A third of the servers may be
+	// gray and fail three in four: those of the others have been ejected, those of a new version
+	// are not known yet. Bad versions fail about half of their requests besides.
+	maxFailures = 0.25
 	// serverPart is the part of its requests that a faulty server fails. One among few must not
 	// condemn their version, up to maxServerPart.
 	serverPart    = 1.0
-	maxServerPart = 0.3
-	// maxSlowdown is the factor on the usual latency that condemns a version, and
+	maxServerPart = 0.35
+	// maxSlowdown is the factor on the usual latency that condemns a version, below that of a
+	// version that is several times slower and above that of a few cold servers, and
 	// serverSlowdown that of a single slow server.
-	maxSlowdown    = 1.6
+	maxSlowdown    = 1.8
 	serverSlowdown = 5.0
 	mostSlowdown   = 2.5
 	// minSpread is the least standard deviation of the logarithm of latency: few results may
@@ -43,22 +44,24 @@
 	// alonePart is the part of the new version's results below which those of the others are too
 	// few to be compared at the same time, and aside the factor on the limits then.
 	alonePart = 0.1
-	aside     = 2.5
+	aside     = 1.3
 	// nearTime is the time over which the others are measured, at least.
 	nearTime = 3 * time.Second
-	// tiny keeps a division by zero away where all results are bad.
-	tiny = 1e-9
 	// usualFailures is taken for the failures of other versions that nothing is known of.
 	usualFailures = 0.05
 )
 
 // verdict compares the versions on each route, and on all together. It returns why the version
 // is condemned, or why its share must stay.
-func (e *evidence) verdict(now time.Time, servers int) (doubt, fault string) {
+func (e *evidence) verdict(now time.Time, servers int, trial bool) (doubt, fault string) {
+	bound := riseBound
+	if trial {
+		bound = faultBound
+	}
 	for _, span := range windows {
 		base := e.at(now, span)
 		for _, alone := range []bool{false, true} {
-			limits := newLimits(servers, alone, span == 0)
+			limits := newLimits(servers, alone)
 			all := sample{}
 			for part, c := range e.compared {
 				if part.alone != alone {
@@ -66,14 +69,14 @@
 				}
 				s := sample{comparison: c.minus(base.compared[part]), other: e.measured(base, part.route, now)}
 				all = all.plus(s)
-				if text := s.exceeds(limits, faultBound); text != "" {
+				if text := s.exceeds(limits, bound); text != "" {
 					return "", fmt.Sprintf("route %q, %s: %s", part.route, spanText(span), text)
 				}
-				if text := s.exceeds(limits.half(), doubtBound); text != "" && !(alone && span == 0) {
+				if text := s.exceeds(limits, doubtBound); text != "" && !(alone && span == 0) {
 					doubt = fmt.Sprintf("in doubt, route %q, %s: %s", part.route, spanText(span), text)
 				}
 			}
-			if text := all.exceeds(limits, faultBound); text != "" {
+			if text := all.exceeds(limits, bound); text != "" {
 				return "", fmt.Sprintf("all routes, %s: %s", spanText(span), text)
 			}
 		}
@@ -100,31 +103,24 @@
 
 // limits are by what a version may differ from the others.
 type limits struct {
-	// failures is the part of failures beyond that of the others, lasting the same for at least
-	// lastingResults results.
-	failures, lasting float64
+	// failures is the part of failures beyond that of the others.
+	failures float64
 	// slowdown is the difference of the mean logarithm of latency.
 	slowdown float64
 }
 
-func newLimits(servers int, alone, allTime bool) limits {
+func newLimits(servers int, alone bool) limits {
 	n := float64(max(servers, 1))
 	l := limits{
 		failures: min(max(maxFailures, serverPart/n), maxServerPart),
 		slowdown: min(max(math.Log(maxSlowdown), math.Log(serverSlowdown)/n), math.Log(mostSlowdown)),
 	}
-	l.lasting = l.failures
-	if allTime && servers >= lastingServers {
-		l.lasting = maxLasting
-	}
 	if alone {
-		l = limits{aside * l.failures, aside * l.failures, aside * l.slowdown}
+		l = limits{aside * l.failures, aside * l.slowdown}
 	}
 	return l
 }
 
-func (l limits) half() limits { return limits{l.failures / 2, l.lasting / 2, l.slowdown / 2} }
-
 // sample is a comparison with the results from which the other versions are known.
 type sample struct {
 	comparison
@@ -135,29 +131,23 @@
 	return sample{s.comparison.plus(o.comparison), s.other.Plus(o.other)}
 }
 
-// exceeds returns by what the new version exceeds the limits with a certainty in standard errors,
-// or "".
-func (s sample) exceeds(l limits, bound float64) string {
-	failures := l.failures
-	if s.results >= lastingResults {
-		failures = l.lasting
-	}
-	if s.bad >= minBad && s.bad-s.otherBad > failures*s.results && s.failureErrors() > bound {
+// exceeds returns by what the new version exceeds the limits by a number of standard errors, or "".
+func (s sample) exceeds(l limits, errors float64) string {
+	if s.bad >= minBad && s.bad-s.otherBad-errors*s.badError() > l.failures*s.results {
 		return fmt.Sprintf("%.0f of %.0f failed, %.1f on the others", s.bad, s.results, s.otherBad)
 	}
-	if s.good >= minGood && s.slower > l.slowdown*s.good && s.slower-bound*s.latencyError() > l.slowdown/2*s.good {
+	if s.good >= minGood && s.slower-errors*s.latencyError() > l.slowdown*s.good {
 		return fmt.Sprintf("%.2f times the latency of the others over %.0f results", math.Exp(s.slower/s.good), s.good)
 	}
 	return ""
 }
 
-// failureErrors returns by how many standard errors the parts of failures differ, which are
-// measured under the assumption that they are the same.
-func (s sample) failureErrors() float64 {
+// badError returns the standard error of the difference between the failures and what the others
+// would have had.
+func (s sample) badError() float64 {
 	known := max(float64(s.other.Results), minOther)
-	other := s.otherBad / s.results
-	same := (s.bad + other*known) / (s.results + known)
-	return (s.bad/s.results - other) / math.Sqrt(same*(1-same)*(1/s.results+1/known)+tiny)
+	part, other := s.bad/s.results, min(s.otherBad/s.results, 1)
+	return s.results * math.Sqrt(part*(1-part)/s.results+other*(1-other)/known)
 }
 
 // latencyError returns the standard error of the sum of the differences of latency.
--- a/ctrl/rollout.go
+++ b/ctrl/rollout.go
@@ -163,7 +163,7 @@
 	if !r.inForceAt.IsZero() {
 		situation.InForce = now.Sub(r.inForceAt)
 	}
-	situation.Servers, situation.Others = warmServers(current, r.present)
+	countServers(&situation, current, r.present)
 	decision := r.judge.Decide(situation, now)
 	if decision.Action == canary.Hold {
 		if decision.Reason != r.lastReason {
@@ -226,27 +226,27 @@
 		version, other = version.Plus(e.New), other.Plus(e.Other)
 	}
 	c.options.EventLog.Record(event.RolloutDecided, r.present.Pool, fmt.Sprintf(
-		"%s to %.3g: %s; version %q, share %.3g, elapsed %s of %s, servers %d and %d others, failed %d of %d and %d of %d others",
+		"%s to %.3g: %s; version %q, share %.3g, elapsed %s of %s, servers %d (%d cold) and %d others, failed %d of %d and %d of %d others",
 		d.Action, d.Share, d.Reason, r.present.Version, s.Share, s.Elapsed.Round(time.Millisecond), time.Duration(r.present.Duration),
-		s.Servers, s.Others, version.Bad, version.Results, other.Bad, other.Results))
+		s.Servers, s.Cold, s.Others, version.Bad, version.Results, other.Bad, other.Results))
 }
 
-// warmServers counts the warm servers of a roll-out's version, and of the others, in data centres
-// that are in service.
-func warmServers(s state.State, r state.Rollout) (servers, others int) {
+// countServers counts the servers of a roll-out's version, and of the others, in data centres that
+// are in service.
+func countServers(situation *canary.Situation, s state.State, r state.Rollout) {
 	usable := func(t state.Target) bool {
-		return t.Pool == r.Pool && t.Phase == state.TargetWarm && !s.IsDataCentreOut(t.DataCentre)
+		return t.Pool == r.Pool && (t.Phase == state.TargetWarm || t.Phase == state.TargetCold) && !s.IsDataCentreOut(t.DataCentre)
 	}
 	for _, t := range state.Select(s, usable) {
-		switch t.Version {
-		case r.Version:
-			servers++
-		case r.Rejected:
-		default:
-			others++
+		switch {
+		case t.Version == r.Version && t.Phase == state.TargetWarm:
+			situation.Servers++
+		case t.Version == r.Version:
+			situation.Cold++
+		case t.Version != r.Rejected:
+			situation.Others++
 		}
 	}
-	return servers, others
 }
 
 // longestDeadline returns the longest deadline of the routes to a pool.
