--- a/canary/canary.go
+++ b/canary/canary.go
@@ -274,14 +274,14 @@
 	return 1
 }
 
-// trial returns the share that uses the budget of the trial by the end of the trial. Servers of the new
-// version bear no more each than the others do.
+// trial returns the share that uses what is left of the budget of the trial by the end of it.
+// Servers of the new version bear no more each than the others do.
 func (j *Judge) trial(s Situation, end time.Duration) float64 {
 	left := max(end-s.Elapsed, j.step()).Seconds()
 	fair := float64(s.Servers) / float64(s.Servers+s.Others)
 	share := trialBudget * j.bounds.Share * j.order.Duration.Seconds() / left
 	if rate := j.evidence.rate(); rate > 0 {
-		share += slackBudget * j.bounds.Slack / (rate * left)
+		share += (slackBudget*j.bounds.Slack - float64(j.evidence.totals.results(true))) / (rate * left)
 	}
 	return min(max(min(share, maxTrial), minTrial), fair)
 }
--- a/ctrl/rollout.go
+++ b/ctrl/rollout.go
@@ -24,6 +24,8 @@
 	// shareTimeout is the time after which a share counts as in force although entries that are
 	// cut off have not acknowledged it: roll-outs have deadlines, and those entries do not report.
 	shareTimeout = time.Second
+	// holdLogPeriod is the shortest time between two log lines that say why a share stays.
+	holdLogPeriod = time.Second
 	// replayTime is the time after the start of a process in which roll-outs that it first sees
 	// were ordered before.
 	replayTime = 5 * time.Second
@@ -43,8 +45,9 @@
 	applied   time.Time
 	inForceAt time.Time
 	judge     *canary.Judge
-	// lastReason is the reason that was last logged.
+	// lastReason is the reason to hold that was last logged, at loggedAt.
 	lastReason string
+	loggedAt   time.Time
 }
 
 // elapsed returns the time since the order.
@@ -166,7 +169,8 @@
 	countServers(&situation, current, r.present)
 	decision := r.judge.Decide(situation, now)
 	if decision.Action == canary.Hold {
-		if decision.Reason != r.lastReason {
+		if decision.Reason != r.lastReason && now.Sub(r.loggedAt) >= holdLogPeriod {
+			r.lastReason, r.loggedAt = decision.Reason, now
 			c.recordRollout(r, situation, decision)
 		}
 		return
@@ -218,9 +222,8 @@
 	}
 }
 
-// recordRollout logs a decision with its inputs, and a reason to hold once.
+// recordRollout logs a decision with its inputs.
 func (c *Control) recordRollout(r *rollout, s canary.Situation, d canary.Decision) {
-	r.lastReason = d.Reason
 	var version, other canary.Stats
 	for _, e := range r.judge.Evidence() {
 		version, other = version.Plus(e.New), other.Plus(e.Other)
