Show and stop roll-outs, and say how they are decided

'rollout list' shows phase, share, reason and what both versions did on each route, as the leader has counted it; 'rollout stop POOL VERSION' rolls one back. A play of a version that fails on one route was held in doubt until the deadline (a trial: 156 results, 71 bad, 15 on the others): the limit is a fifth now, and 15 failures beyond those of the others suffice with less certainty.

Tests: go test ./canary ./platform ./state ./ledger.

--- a/canary/compare.go
+++ b/canary/compare.go
@@ -19,15 +19,17 @@
 	// faultBound and doubtBound are the numbers of standard errors by which a version must
 	// exceed the limits to be condemned, or to keep its share. A hundred comparisons are made in
 	// a roll-out, and faulty servers make results less independent than these errors assume.
-	// Beyond the trial each moment costs more requests than the whole trial does, so that less
-	// is waited for there.
+	// Beyond the trial each moment costs more requests than the whole trial does, and after
+	// manyBad failures beyond those of the others the time to roll back runs, so that less
+	// certainty is waited for then.
 	faultBound = 3.0
 	riseBound  = 1.6
 	doubtBound = 1.0
+	manyBad    = 15
 	// maxFailures is the part of failures beyond that of the others that condemns a version. A third of the servers may be
-	// gray and fail three in four: those of the others have been ejected, those of a new version
-	// are not known yet. Bad versions fail about half of their requests besides.
-	maxFailures = 0.25
+	// gray and fail three in four: those of the others are avoided, those of a new version are not
+	// known at first. Bad versions fail about half of their requests besides.
+	maxFailures = 0.2
 	// serverPart is the part of its requests that a faulty server fails. One among few must not
 	// condemn their version, up to maxServerPart.
 	serverPart    = 1.0
@@ -133,6 +135,9 @@
 
 // exceeds returns by what the new version exceeds the limits by a number of standard errors, or "".
 func (s sample) exceeds(l limits, errors float64) string {
+	if s.bad-s.otherBad >= manyBad {
+		errors = min(errors, riseBound)
+	}
 	if s.bad >= minBad && s.bad-s.otherBad-errors*s.badError() > l.failures*s.results {
 		return fmt.Sprintf("%.0f of %.0f failed, %.1f on the others", s.bad, s.results, s.otherBad)
 	}
--- a/canary/evidence.go
+++ b/canary/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -33,6 +34,14 @@
 	return Stats{s.Results + o.Results, s.Bad + o.Bad, s.LogSum + o.LogSum, s.LogSquares + o.LogSquares}
 }
 
+// Latency returns the geometric mean of the latency of good results.
+func (s Stats) Latency() time.Duration {
+	if s.Results == s.Bad {
+		return 0
+	}
+	return time.Duration(math.Exp(s.LogSum/float64(s.Results-s.Bad)) * float64(time.Second))
+}
+
 func (s Stats) minus(o Stats) Stats {
 	return Stats{s.Results - o.Results, s.Bad - o.Bad, s.LogSum - o.LogSum, s.LogSquares - o.LogSquares}
 }
--- a/ctrl/http.go
+++ b/ctrl/http.go
@@ -68,6 +68,8 @@
 		admin.Handle("PUT /v1/tickets/{number}", c.putTicket),
 		admin.Handle("GET /v1/tickets/{number}", c.getTicket),
 		admin.Handle("GET /v1/state", c.getState),
+		admin.Handle("GET /v1/rollouts", c.getRollouts),
+		admin.Handle("DELETE /v1/rollouts/{pool}/{version}", c.deleteRollout),
 		admin.Handle("GET /v1/replicas", c.getReplicas),
 		admin.Handle("PUT /v1/replicas/{vm}", c.putReplica),
 		admin.Handle("DELETE /v1/replicas/{vm}", c.deleteReplica),
--- a/prog/prog.go
+++ b/prog/prog.go
@@ -60,6 +60,8 @@
 		{"replica rescue", "", "make the replica in a folder the only one, after a majority is lost for good", rescueCommand},
 		{"quarantine list", "", "list the requests that may crash backend servers", quarantineListCommand},
 		{"quarantine release", "PRINT", "clear a request that is in quarantine", quarantineReleaseCommand},
+		{"rollout list", "", "show the roll-outs with their evidence", rolloutListCommand},
+		{"rollout stop", "POOL VERSION", "roll back a running roll-out", rolloutStopCommand},
 		{"status", "", "show the state of the fleet", statusCommand},
 		{"timeline", "", "merge the events of all processes", timelineCommand},
 		{"demo", "", "run a small fleet on this machine", demoCommand},
