--- a/pick/version_test.go
+++ b/pick/version_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -35,7 +36,7 @@
 		{state.RolloutRolledBack, 0, "ac", "a"},
 		{state.RolloutRolledBack, 0.4, "ac", "a"},
 	} {
-		s := stateWith(is, state.Rollout{Pool: "desk", Version: "v2", Phase: one.phase, Share: one.share})
+		s := stateWith(is, state.Rollout{Pool: "desk", Version: "v2", Duration: state.Duration(time.Minute), Phase: one.phase, Share: one.share})
 		letters := func(targets []fleet.Target) (list string) {
 			for _, t := range targets {
 				list += t.Name[:1]
--- a/pool/rollout_test.go
+++ b/pool/rollout_test.go
@@ -66,7 +66,13 @@
 }
 
 func (e *rolloutEntry) rollOut(phase state.RolloutPhase, share float64) {
-	e.set(state.Rollout{Pool: "desk", Version: "v2", Phase: phase, Share: share})
+	// A roll-out that has ended goes on only as a new one.
+	if earlier, ok := state.Get[state.Rollout](e.current, "desk"); ok {
+		next, problems := e.current.WithChange(state.Change{Index: e.current.Index() + 1, Remove: []state.Ref{earlier.Ref()}})
+		e.is.Equal(len(problems), 0)
+		e.current = next
+	}
+	e.set(state.Rollout{Pool: "desk", Version: "v2", Duration: state.Duration(time.Minute), Phase: phase, Share: share})
 }
 
 func (e *rolloutEntry) advance(d time.Duration) {
