Confirm that an announcement changes nothing before it is acknowledged

A replica that lags behind compared an announcement with what it had applied, and acknowledged one that changed nothing there though the group held another phase.

Now the leader confirms it.

--- a/ctrl/changes.go
+++ b/ctrl/changes.go
@@ -32,11 +32,17 @@
 	})
 }
 
-// Register stores the announcement of a backend server. It returns once the
-// announcement is accepted, or at once if it changes nothing.
+// Register stores the announcement of a backend server. It returns once the announcement is
+// accepted, or is known to change nothing. This replica may lag behind, so the latter is confirmed
+// by the leader.
 func (c *Control) Register(ctx context.Context, t state.Target) error {
 	if !c.Ledger().AcceptsRegistration(t) {
-		return nil
+		if err := c.awaitConfirmed(ctx); err != nil {
+			return err
+		}
+		if !c.Ledger().AcceptsRegistration(t) {
+			return nil
+		}
 	}
 	return c.proposeObject(ctx, t, t.Name)
 }
--- a/ctrl/ctrl.go
+++ b/ctrl/ctrl.go
@@ -81,6 +81,7 @@
 	// was not a member of it.
 	remoteGroup atomic.Pointer[quorum.Group]
 	requests    requestTable
+	reads       sharedReads
 	// foundersMissing is the number of founders that the first group waits for.
 	foundersMissing atomic.Int64
 
