Add admission by work at overload

When more work arrives than a pool can do, the holder knew one service time for all routes, walked a queue of 512 and ordered it by rank, objective and the count of a workspace's running requests.

The default stays as it was.

Ran: go test -race ./sched ./pool ./platform, go test ./prog ./entry ./conf.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -110,7 +110,7 @@
 	e.pools = pool.New(e.link, e.fleet, e.leases, append([]pool.Option{
 		pool.VM(e.options.VM), pool.DataCentre(e.options.DataCentre), pool.Placement(e.options.Placement), pool.State(e.State),
 		pool.Settings(func() []state.Pool { return e.config.Load().Pools }), pool.Clock(e.options.Clock), pool.EventLog(e.options.EventLog),
-		pool.EntryCount(e.recentMemberCount),
+		pool.EntryCount(e.recentMemberCount), pool.Meter(e.options.Meter),
 	}, e.options.PoolOptions...)...)
 	e.claims = claim.New(e.link,
 		claim.VM(e.options.VM), claim.Voters(func() []string { return e.State().ActiveVoters() }),
--- a/entry/status.go
+++ b/entry/status.go
@@ -4,6 +4,7 @@
 	"github.com/dottereldeal/dottereldeal/admin"
 	"github.com/dottereldeal/dottereldeal/fleet"
 	"github.com/dottereldeal/dottereldeal/link"
+	"github.com/dottereldeal/dottereldeal/sched"
 	"github.com/dottereldeal/dottereldeal/state"
 )
 
@@ -26,6 +27,8 @@
 	Ejected []string `json:"ejected,omitempty"`
 	Ramping []string `json:"ramping,omitempty"`
 	Floor   float64  `json:"floor"`
+	// Queues are those of the cells that this VM holds, if requests wait by their work.
+	Queues map[string]sched.QueueStatus `json:"queues,omitempty"`
 }
 
 // statusResponse is the response to GET /v1/status.
@@ -84,6 +87,7 @@
 	p := poolStatus{Pool: name}
 	s := e.State()
 	p.Ejected, p.Ramping = e.pools.Status(name)
+	p.Queues = e.pools.Queues(name)
 	settings, _ := state.Get[state.Pool](s, name)
 	p.Floor = settings.Floor
 	for _, t := range targets {
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -34,22 +34,23 @@
 		return
 	}
 	b.syncServers(m.GetPool(), h)
-	placed := h.Place(req, now)
+	placements := h.Place(req, now)
 	b.mu.Unlock()
-	b.sendPlacements(m.GetPool(), []sched.Placement{placed}, now)
+	b.sendPlacements(m.GetPool(), placements, now)
 }
 
 // sendPlacements sends the decisions of a scheduler: to the entries with the requests, which
 // may include this one, or to the holders of other cells. It must be called without the lock.
 func (b *Balancer) sendPlacements(cell string, placements []sched.Placement, now time.Time) {
 	for _, placed := range placements {
+		b.countDecision(placed)
 		if placed.Forward != (sched.Destination{}) {
 			b.forward(placed, now)
 			continue
 		}
 		b.sendAnswer(placed.Request.VM, &wire.SlotAnswer{
 			Pool: cell, Id: placed.Request.ID, Target: placed.Target, Queued: placed.Queued, RetryMicros: uint64(placed.RetryAfter.Microseconds()),
-			Quarantined: placed.Quarantined,
+			Quarantined: placed.Quarantined, Reason: string(placed.Reason),
 		})
 	}
 }
--- a/pool/options.go
+++ b/pool/options.go
@@ -5,7 +5,9 @@
 
 	"github.com/dottereldeal/dottereldeal/clock"
 	"github.com/dottereldeal/dottereldeal/event"
+	"github.com/dottereldeal/dottereldeal/meter"
 	"github.com/dottereldeal/dottereldeal/retry"
+	"github.com/dottereldeal/dottereldeal/sched"
 	"github.com/dottereldeal/dottereldeal/state"
 )
 
@@ -19,6 +21,10 @@
 	DataCentre string
 	// Placement selects who chooses the backend servers.
 	Placement PlacementMode
+	// Admission selects the order of the requests that wait for a slot, if holders place them.
+	Admission sched.AdmissionMode
+	// Meter holds the metrics. It may be nil.
+	Meter *meter.Meter
 	// EntryCount returns the number of entries that may send requests, or 0 while it is not
 	// known.
 	EntryCount func() int
@@ -47,6 +53,12 @@
 // Placement selects who chooses the backend servers.
 func Placement(mode PlacementMode) Option { return func(o *Options) { o.Placement = mode } }
 
+// Admission selects the order of the requests that wait for a slot, if holders place them.
+func Admission(mode sched.AdmissionMode) Option { return func(o *Options) { o.Admission = mode } }
+
+// Meter sets the registry of the metrics.
+func Meter(m *meter.Meter) Option { return func(o *Options) { o.Meter = m } }
+
 // EntryCount sets the function that returns the number of entries that may send requests, or
 // 0 while it is not known.
 func EntryCount(f func() int) Option { return func(o *Options) { o.EntryCount = f } }
@@ -79,6 +91,7 @@
 func newOptions(opts ...Option) Options {
 	o := Options{
 		Placement:  PlacementLocal,
+		Admission:  sched.AdmissionRank,
 		State:      func() state.State { return state.State{} },
 		Settings:   func() []state.Pool { return nil },
 		EntryCount: func() int { return 1 },
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -35,9 +35,17 @@
 type OverloadError struct {
 	// RetryAfter is the time after which a slot is likely to be free.
 	RetryAfter time.Duration
+	// Reason is why, if the holder tells.
+	Reason sched.Reason
 }
 
-func (e *OverloadError) Error() string { return "no slot of the pool becomes free before the deadline" }
+func (e *OverloadError) Error() string {
+	const text = "no slot of the pool becomes free before the deadline"
+	if e.Reason == sched.ReasonNone {
+		return text
+	}
+	return text + " (" + string(e.Reason) + ")"
+}
 
 // After returns the time after which a slot is likely to be free.
 func (e *OverloadError) After() time.Duration { return e.RetryAfter }
@@ -152,7 +160,9 @@
 			case answer.GetQuarantined():
 				return pick.Choice{}, &pick.QuarantineError{Left: time.Duration(answer.GetRetryMicros()) * time.Microsecond}, true
 			case answer.GetTarget() == "":
-				return pick.Choice{}, &OverloadError{RetryAfter: time.Duration(answer.GetRetryMicros()) * time.Microsecond}, true
+				return pick.Choice{}, &OverloadError{
+					RetryAfter: time.Duration(answer.GetRetryMicros()) * time.Microsecond, Reason: sched.Reason(answer.GetReason()),
+				}, true
 			}
 			choice, ok := b.acceptSlot(w.cell, w.holder, m.GetId(), answer.GetTarget(), r.Label)
 			return choice, nil, ok
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -62,7 +62,8 @@
 	// pending holds the slot requests that wait for the answer of a holder, by ID.
 	pending map[uint64]*pendingRequest
 	// guard knows the requests that may crash servers.
-	guard *guard.Table
+	guard     *guard.Table
+	decisions decisionCounter
 }
 
 // cellState is what this VM knows about one cell.
@@ -85,6 +86,7 @@
 		cellStates: make(map[string]*cellState), holders: make(map[string]*sched.Holder), pending: make(map[uint64]*pendingRequest),
 		guard: guard.New(), lastID: link.FirstNumber(),
 	}
+	b.decisions = newDecisionCounter(b.options.Meter)
 	b.leaving.Store(&leavingServers{})
 	f.Watch(fleet.KindEjection, b.updateStatus)
 	return b
@@ -238,7 +240,7 @@
 	h, ok := b.holders[cell]
 	if !ok || !h.Since().Equal(since) {
 		h = sched.New(
-			sched.Since(since), sched.RetryBudget(b.retryBudget(cell)...), sched.Evidence(b.guard, cell),
+			sched.Since(since), sched.RetryBudget(b.retryBudget(cell)...), sched.Evidence(b.guard, cell), sched.Admission(b.options.Admission),
 			sched.Limits(b.knownLimits(poolOfCell(cell, b.options.State()))),
 		)
 		for _, name := range b.cellState(cell).status.Cold {
--- a/prog/entry.go
+++ b/prog/entry.go
@@ -12,6 +12,7 @@
 	"github.com/dottereldeal/dottereldeal/platform"
 	"github.com/dottereldeal/dottereldeal/pool"
 	"github.com/dottereldeal/dottereldeal/proxy"
+	"github.com/dottereldeal/dottereldeal/sched"
 )
 
 func entryCommand(set *conf.Set) runner {
@@ -33,6 +34,8 @@
 	grace := set.Duration("key-grace", "time that a running request may outlive its key", conf.Default("2s"))
 	cutOff := conf.Var(set, "when-cut-off", "what to do while cut off from control and the other entries: stop or serve", parseCutOff, conf.Default("stop"))
 	place := conf.Var(set, "placement", "who chooses the backend servers: local (every entry) or holder (one for all)", parsePlacement, conf.Default("local"))
+	admission := conf.Var(set, "admission", "which requests wait for a slot in which order, with --placement holder: rank, work (by rank, work, deadline and share), or auto (what --platform-contracts calls for, else rank)", parseAdmission, conf.Default("auto"))
+	contracts := set.String("platform-contracts", "names of the users' platform's contracts in force, as NAME,...")
 	keep := conf.Var(set, "keep-connections", "how long an idle connection to a backend server may serve a request that must run once; 0s for fresh ones", time.ParseDuration, conf.Default("0s"))
 	linkRate := conf.Var(set, "link-mbps", "rate of this VM's link in Mbit/s, by which large bodies are paced; 0 if it is not scarce", parseLinkRate, conf.Default("0"))
 	return func(set *conf.Set, s streams) int {
@@ -73,7 +76,10 @@
 		if *found.bounds != "" {
 			delay, limit := planStop(bounds.Grace)
 			opts = append(opts, entry.ProxyOptions(platform.ProxyOptions(bounds)...), entry.Drain(delay, limit), entry.Tolerance(bounds.Quota),
-				entry.PoolOptions(platform.PoolOptions(bounds)...))
+				entry.PoolOptions(platform.PoolOptions(bounds, platform.ParseContracts(*contracts))...))
+		}
+		if *admission != admissionAuto {
+			opts = append(opts, entry.PoolOptions(pool.Admission(*admission)))
 		}
 		e := entry.New(sockets, opts...)
 		return p.runUntilStopped(e, settingsWatch{set: set, apply: found.follow(*common.listen, e.SetSeeds)})
@@ -113,6 +119,17 @@
 	return by, nil
 }
 
+// admissionAuto leaves the order of requests to what the platform calls for.
+const admissionAuto sched.AdmissionMode = "auto"
+
+func parseAdmission(text string) (sched.AdmissionMode, error) {
+	mode := sched.AdmissionMode(text)
+	if mode != admissionAuto && mode != sched.AdmissionRank && mode != sched.AdmissionWork {
+		return "", fmt.Errorf("%q is neither auto, rank nor work", text)
+	}
+	return mode, nil
+}
+
 func parseCutOff(text string) (entry.PartitionPolicy, error) {
 	c := entry.PartitionPolicy(text)
 	if c != entry.PartitionServe && c != entry.PartitionStop {
--- a/sched/options.go
+++ b/sched/options.go
@@ -18,6 +18,8 @@
 	Cell  string
 	// Limits are the requests per second that servers have named to the previous holder.
 	Limits map[string]float64
+	// Admission selects the order of the requests that wait.
+	Admission AdmissionMode
 }
 
 // Option sets one of the Options.
@@ -41,8 +43,11 @@
 	return func(o *Options) { o.Limits = perSecond }
 }
 
+// Admission selects the order of the requests that wait for a slot.
+func Admission(mode AdmissionMode) Option { return func(o *Options) { o.Admission = mode } }
+
 func newOptions(opts ...Option) Options {
-	var o Options
+	o := Options{Admission: AdmissionRank}
 	for _, opt := range opts {
 		opt(&o)
 	}
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -122,6 +122,9 @@
 // placeQueued assigns queued requests to free slots. Requests that can no longer be
 // answered in time are sent to any server or rejected, and all are if no server is left.
 func (s *scheduler) placeQueued(view poolView, now time.Time) []Placement {
+	if s.admission != nil {
+		return s.placeWaiting(view, now)
+	}
 	if len(s.queue) == 0 {
 		return nil
 	}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -9,9 +9,9 @@
 //
 //	holder := sched.New(sched.Since(now), sched.Evidence(table, "loan-desk"))
 //	holder.SetTargets(targets, settings, idleTimeout)
-//	placed := holder.Place(request, now)
+//	placements := holder.Place(request, now)
 //	target, assigned := holder.Done(sched.Key{VM: "e1", ID: 7}, result, now)
-//	placements := holder.PlaceQueued(now)
+//	placements = holder.PlaceQueued(now)
 package sched
 
 import (
@@ -33,6 +33,9 @@
 	}
 	h.scheduler.cell = o.Cell
 	h.scheduler.assumeLimits(o.Limits)
+	if o.Admission == AdmissionWork {
+		h.scheduler.admission = newAdmission()
+	}
 	return h
 }
 
@@ -44,9 +47,11 @@
 	return h.view.ramp != nil && sameSlice(targets, h.view.targets)
 }
 
-// Place assigns, queues, forwards or refuses a request.
-func (h *Holder) Place(req Request, now time.Time) Placement {
-	return h.scheduler.place(req, h.view, now)
+// Place assigns, queues, forwards or refuses a request. Decisions on queued requests that it
+// leads to come first.
+func (h *Holder) Place(req Request, now time.Time) []Placement {
+	placed := h.scheduler.place(req, h.view, now)
+	return append(h.scheduler.takeDisplaced(), placed)
 }
 
 // Done frees the slot of a request and returns its server, or removes the request from the
@@ -87,3 +92,11 @@
 
 // ReportLoad records the load of another cell of the pool.
 func (h *Holder) ReportLoad(cell string, load CellLoad) { h.scheduler.overflow.report(cell, load) }
+
+// Queue returns what waits, and reports false if the queue is not ordered by work.
+func (h *Holder) Queue(now time.Time) (QueueStatus, bool) {
+	if h.scheduler.admission == nil {
+		return QueueStatus{}, false
+	}
+	return h.scheduler.queueStatus(now), true
+}
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -109,6 +109,9 @@
 	// final is set if no retry can follow this attempt.
 	final   bool
 	ramping bool
+	route   string
+	// work is what was counted for the workspace, in seconds.
+	work float64
 	// seen is the part of the failures that would have shown by now.
 	seen float64
 }
@@ -123,6 +126,8 @@
 	Forward     Destination
 	RetryAfter  time.Duration
 	Quarantined bool
+	// Reason tells why the request was refused, if that is known.
+	Reason Reason
 }
 
 // scheduler assigns the requests of a pool to its backend servers. It tracks every slot in
@@ -164,6 +169,14 @@
 	copies map[guard.Print]int
 	// free is reused by withFreeSlot.
 	free []*server
+	// admission orders the queue by work, in place of queue. It is nil in AdmissionRank.
+	admission *admission
+	// displaced are decisions on queued requests that have not been taken yet.
+	displaced []Placement
+	// room is the number of usable slots, as of roomAt and for that many servers.
+	room        float64
+	roomAt      time.Time
+	roomServers int
 }
 
 func newScheduler(budget ...retry.Option) *scheduler {
@@ -203,9 +216,12 @@
 	}
 	s.backlog.arrived(now)
 	if req.Arrived && !req.Forwarded && !s.budget.Withdraw() {
-		return Placement{Request: req, RetryAfter: minRetryAfter}
+		return Placement{Request: req, RetryAfter: minRetryAfter, Reason: ReasonBudget}
 	}
 	view.belowFloor = s.belowFloor(view, now)
+	if s.admission != nil {
+		return s.admit(req, view, now)
+	}
 	if s.mustWait(req) {
 		return s.queueSuspect(req, now)
 	}
@@ -250,6 +266,10 @@
 			freeSlots += srv.freeSlots(now)
 		}
 	}
+	if s.admission != nil {
+		slots := s.usableSlots(now)
+		return max(0, freeSlots-s.admission.order.len()), s.admission.waitBehind(s.admission.order.load(), place{}, slots, now)
+	}
 	freeSlots = max(0, freeSlots-len(s.queue))
 	wait, _ = s.queueWait(Request{Objective: now.Add(hopelessWait), Deadline: now.Add(2 * hopelessWait)}, now)
 	return freeSlots, wait
@@ -257,7 +277,7 @@
 
 // assign takes a slot for a request.
 func (s *scheduler) assign(req Request, srv *server, now time.Time) Placement {
-	a := assignment{final: !req.Idempotent || req.Arrived, server: srv, workspace: req.Workspace, print: req.Print, boot: srv.boot, since: now, until: req.Deadline.Add(abandonedAfter)}
+	a := assignment{final: !req.Idempotent || req.Arrived, server: srv, workspace: req.Workspace, print: req.Print, boot: srv.boot, since: now, until: req.Deadline.Add(abandonedAfter), route: req.Route}
 	if srv.ramp != nil {
 		a.ramping = true
 		srv.ramp.Grant(now)
@@ -266,6 +286,9 @@
 		// An entry of an earlier version numbers its requests anew after each start.
 		s.release(req.key(), earlier)
 	}
+	if s.admission != nil {
+		a.work = s.admission.started(req)
+	}
 	srv.throttle.take(now)
 	srv.recordAssigned(now)
 	srv.inUse++
@@ -282,6 +305,10 @@
 // queue. An empty kind means that the request was not sent.
 func (s *scheduler) done(key Key, r health.Result, now time.Time) (target string, assigned bool) {
 	a, assigned := s.assignments[key]
+	if !assigned && s.admission != nil {
+		s.admission.cancel(key)
+		return "", false
+	}
 	if !assigned {
 		s.queue = slices.DeleteFunc(s.queue, func(req Request) bool { return req.key() == key })
 		return "", false
@@ -311,6 +338,9 @@
 
 func (s *scheduler) release(key Key, a assignment) {
 	delete(s.assignments, key)
+	if s.admission != nil {
+		s.admission.giveBack(a.workspace, a.work)
+	}
 	a.server.inUse--
 	if s.running[a.workspace]--; s.running[a.workspace] <= 0 {
 		delete(s.running, a.workspace)
@@ -335,6 +365,9 @@
 		s.evidence.failed(r, s.serviceTime)
 		s.blame(a.server, vm, now)
 	default:
+		if s.admission != nil {
+			s.admission.works.learn(a.route, r.Latency, now)
+		}
 		s.serviceTime += time.Duration(serviceTimeWeight * float64(r.Latency-s.serviceTime))
 		a.server.estimate = a.server.estimate.WithResult(s.model, false, a.seen, a.since)
 	}
@@ -359,5 +392,8 @@
 			s.release(key, a)
 		}
 	}
+	if s.admission != nil {
+		return slices.Concat(s.takeDisplaced(), s.placeWaiting(view, now), s.moveWaiting(now), s.sweepWaiting(now), s.displace(now))
+	}
 	return slices.Concat(s.placeQueued(view, now), s.moveQueued(now), s.rejectHopeless(now))
 }
