Wait for a further attempt that was refused, and use no address that is another server's

Cause: a request that was turned away unread, met another server at a reused address, or got a server's own 500 on an idempotent route ended the moment its further attempt was refused by the retry budget or for want of a server, with most of its time left. And a 421 counted as an unreachable server: evidence against its health and path, while the registration stayed in use.

A 421 marks the registration like that of a server that leaves, at the entry and through the holder, until its next start. The bounds on attempts and the budget are as before.

New tests of proxy fail before. go test -race ./proxy, go test ./pool ./entry ./local pass.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -134,7 +134,11 @@
 			a.readPause(response)
 		}
 		response.Body.Close()
-		a.report(kind, time.Since(started))
+		if kind == health.Unreachable {
+			a.reportMisdirected(time.Since(started))
+		} else {
+			a.report(kind, time.Since(started))
+		}
 		return nil, &failure{kind: kind, outcome: NotRun, reachedBackend: true, cause: errors.Errorf("backend server refused the request with %d", response.StatusCode)}
 	}
 	if err := headers.verify(response, x.request.Header.Get(headers.RequestID)); err != nil {
@@ -252,6 +256,16 @@
 	a.choice.Done(health.Result{Kind: kind, Latency: latency, Cold: a.cold, Limit: a.limit, Leaving: a.leaving, Pause: a.pause, Print: a.exchange.fingerprint()})
 }
 
+// reportMisdirected reports that another server answers at the address. The intended one is gone
+// from there until it registers again, like one that has said that it leaves; the answer shows
+// neither its state nor that of the path to it.
+func (a *attempt) reportMisdirected(latency time.Duration) {
+	a.leaving = true
+	a.detail = "another server answers at the address"
+	a.exchange.handler.metrics.misdirected.Inc()
+	a.report(health.Cancelled, latency)
+}
+
 // targetURL returns the request's URL with the address of a backend server.
 func (x *exchange) targetURL(addr string) *url.URL {
 	u := *x.request.URL
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -13,16 +13,19 @@
 	attempts  *prometheus.CounterVec
 	retries   *prometheus.CounterVec
 	truncated prometheus.Counter
-	panics    prometheus.Counter
+	// misdirected counts attempts that found another server at the address.
+	misdirected prometheus.Counter
+	panics      prometheus.Counter
 }
 
 func newMetrics(m *meter.Meter) *metrics {
 	return &metrics{
-		requests:  m.Counter("requests_total", "Requests received from callers."),
-		refused:   m.CounterVec("requests_refused_total", "Requests refused with a problem response, by kind.", "kind"),
-		attempts:  m.CounterVec("attempts_total", "Attempts to send a request to a backend server, by result.", "result"),
-		retries:   m.CounterVec("retries_total", "Retries and hedged attempts, by reason.", "reason"),
-		truncated: m.Counter("answers_cut_total", "Truncated responses, signalled to the caller by closing the connection."),
-		panics:    m.Counter("panics_total", "Requests and attempts that ended in a panic."),
+		requests:    m.Counter("requests_total", "Requests received from callers."),
+		refused:     m.CounterVec("requests_refused_total", "Requests refused with a problem response, by kind.", "kind"),
+		attempts:    m.CounterVec("attempts_total", "Attempts to send a request to a backend server, by result.", "result"),
+		retries:     m.CounterVec("retries_total", "Retries and hedged attempts, by reason.", "reason"),
+		truncated:   m.Counter("answers_cut_total", "Truncated responses, signalled to the caller by closing the connection."),
+		misdirected: m.Counter("attempts_misdirected_total", "Attempts that found another server at the address."),
+		panics:      m.Counter("panics_total", "Requests and attempts that ended in a panic."),
 	}
 }
--- a/proxy/retry.go
+++ b/proxy/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -44,6 +45,10 @@
 	// fallback is a complete response with a server error, returned if no attempt
 	// gets a better one.
 	fallback *backendResponse
+	// pauses decides when to ask again for an attempt that was refused, and resume fires then. It
+	// is nil unless the request waits for that.
+	pauses pauses
+	resume <-chan time.Time
 }
 
 // roundTrip sends the request to backend servers until there is a usable response. A
@@ -132,8 +137,14 @@
 func (l *retryLoop) awaitResponse(ctx context.Context) *backendResponse {
 	hedge := time.NewTimer(l.hedgeDelay())
 	defer hedge.Stop()
-	for l.running > 0 {
+	for l.running > 0 || l.resume != nil {
 		select {
+		case <-l.resume:
+			l.resume = nil
+			l.retry(ctx)
+		case <-l.abandoned(ctx):
+			l.resume = nil
+			l.lastFailure.applyContextCause(ctx)
 		case result := <-l.results:
 			l.running--
 			if result.failure == nil || result.failure.reachedBackend {
@@ -145,7 +156,7 @@
 			}
 			l.retry(ctx)
 		case <-hedge.C:
-			if l.canHedge(ctx) && l.startExtra(ctx, "late") {
+			if l.running == 0 || l.canHedge(ctx) && l.startExtra(ctx, "late") == nil {
 				hedge.Reset(l.hedgeDelay())
 			}
 		}
@@ -218,7 +229,40 @@
 	if l.lastFailure.outcome != NotRun && !l.exchange.route.Idempotent {
 		return
 	}
-	l.startExtra(ctx, string(l.lastFailure.kind))
+	if err := l.startExtra(ctx, string(l.lastFailure.kind)); err != nil {
+		l.pause(err)
+	}
+}
+
+// pause lets the request wait for a further attempt, if one that was refused now may be possible
+// before the request's time is over.
+func (l *retryLoop) pause(refusal error) {
+	var quarantine *pick.QuarantineError
+	if errors.As(refusal, &quarantine) || !errors.Is(refusal, pick.ErrRetryBudget) && !errors.Is(refusal, pick.ErrNoServer) {
+		return
+	}
+	var after time.Duration
+	var retryable interface{ After() time.Duration }
+	if errors.As(refusal, &retryable) {
+		after = retryable.After()
+	}
+	x := l.exchange
+	left := l.deadline.remaining()
+	if objective := time.Duration(x.route.Objective) - x.handler.options.Clock.Now().Sub(x.receivedAt); objective > 0 {
+		left = min(left, objective)
+	}
+	if wait, ok := l.pauses.next(after, x.handler.options.Picker.HedgeDelay(x.pool), left, rand.Float64()); ok {
+		l.resume = time.After(wait)
+	}
+}
+
+// abandoned returns a channel that ends the wait for a further attempt. Attempts that run end by
+// themselves.
+func (l *retryLoop) abandoned(ctx context.Context) <-chan struct{} {
+	if l.running > 0 {
+		return nil
+	}
+	return ctx.Done()
 }
 
 func (l *retryLoop) canRetry(ctx context.Context) bool {
@@ -227,13 +271,13 @@
 }
 
 // startExtra starts a retry or a hedged attempt, which draws on the retry budget.
-func (l *retryLoop) startExtra(ctx context.Context, reason string) bool {
+func (l *retryLoop) startExtra(ctx context.Context, reason string) error {
 	if err := l.startAttempt(ctx); err != nil {
 		l.exchange.logNoRetry(reason, err.Error())
-		return false
+		return err
 	}
 	l.exchange.handler.metrics.retries.WithLabelValues(reason).Inc()
-	return true
+	return nil
 }
 
 // releaseUnused closes the responses that are not used, including those of attempts
--- a/proxy/retry_test.go
+++ b/proxy/retry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -102,3 +103,61 @@
 	is.Equal(second.StatusCode, http.StatusBadGateway)
 	is.Equal(second.Header.Get(proxy.OutcomeHeader), string(proxy.Unknown))
 }
+
+// refusingPicker refuses some further attempts before it allows one.
+type refusingPicker struct {
+	sequentialPicker
+	refusals int
+	results  []health.Result
+}
+
+func (p *refusingPicker) Pick(ctx context.Context, pool string, r pick.Request) (pick.Choice, error) {
+	if r.Arrived && p.refusals > 0 {
+		p.refusals--
+		return pick.Choice{}, pick.ErrRetryBudget
+	}
+	choice, err := p.sequentialPicker.Pick(ctx, pool, r)
+	choice.Done = func(result health.Result) { p.results = append(p.results, result) }
+	return choice, err
+}
+
+// A request met another server at an address that is used again, or was turned away unread, while the
+// retry budget was empty. It came back as a 503 at once, with most of its time left.
+func TestRequestThatHasNotRunWaitsForAFurtherAttempt(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusMisdirectedRequest} {
+		for refusals, want := range map[int]int{0: http.StatusOK, 2: http.StatusOK, 9: http.StatusServiceUnavailable} {
+			t.Run(fmt.Sprint(status, refusals), func(t *testing.T) {
+				is := is.New(t)
+				away := startServer(t, "b1", func(conn *net.TCPConn, _ *http.Request) { io.WriteString(conn, refusal(status, "one")) })
+				sound := startServer(t, "b2", func(conn *net.TCPConn, _ *http.Request) { io.WriteString(conn, keepAliveResponse("one", "sound")) })
+				picker := &refusingPicker{sequentialPicker: sequentialPicker{targets: []fleet.Target{away, sound}}, refusals: refusals}
+				server := serve(t, picker, keepAliveOptions()...)
+				started := time.Now()
+				response, _ := sendNonIdempotent(t, server.URL, "one")
+				is.Equal(response.StatusCode, want)
+				is.True(time.Since(started) < 400*time.Millisecond) // its deadline
+				if want != http.StatusOK {
+					is.Equal(response.Header.Get(proxy.OutcomeHeader), string(proxy.NotRun))
+				}
+				// Who is not there any more is neither failing nor full.
+				gone := status == http.StatusMisdirectedRequest
+				is.Equal(picker.results[0].Leaving, gone)
+				is.Equal(picker.results[0].Kind == health.Cancelled, gone)
+			})
+		}
+	}
+}
+
+// A request that may run twice got a server's own failure though sound servers were free, because
+// the budget was empty at that moment.
+func TestServersFailureIsNotTheLastWordWhileThereIsTime(t *testing.T) {
+	is := is.New(t)
+	failing := startServer(t, "b1", func(conn *net.TCPConn, _ *http.Request) {
+		io.WriteString(conn, strings.Replace(keepAliveResponse("one", "failed"), "200", "500", 1))
+	})
+	sound := startServer(t, "b2", func(conn *net.TCPConn, _ *http.Request) { io.WriteString(conn, keepAliveResponse("one", "sound")) })
+	picker := &refusingPicker{sequentialPicker: sequentialPicker{targets: []fleet.Target{failing, sound}}, refusals: 2}
+	server := serve(t, picker, keepAliveOptions()...)
+	response := send(t, http.MethodGet, server.URL+"/read/1", nil, http.Header{idHeader: {"one"}})
+	is.Equal(response.StatusCode, http.StatusOK)
+}
