--- a/soak/judge.go
+++ b/soak/judge.go
@@ -24,6 +24,8 @@
 	RuleRefused Rule = "refused"
 	// RuleMajority: a control VM that reaches no other one acknowledges nothing.
 	RuleMajority Rule = "majority"
+	// RuleWhole: a success is the whole answer of a backend server that ran the request.
+	RuleWhole Rule = "whole"
 	// RuleStays: a process ends only when it is asked to.
 	RuleStays Rule = "stays"
 )
@@ -93,6 +95,7 @@
 	j.goesBack(outcomes)
 	j.evacuated(requests)
 	j.atMostOnce(requests, runs)
+	j.whole(runs)
 	j.refused()
 	j.majorityAcks()
 	slices.SortStableFunc(j.found, func(a, b Violation) int { return a.At.Compare(b.At) })
@@ -398,6 +401,17 @@
 	}
 }
 
+// whole checks that each success is the whole answer of a server that ran the request.
+func (j *judge) whole(runs map[string][]Arrival) {
+	const ok = 200
+	for _, q := range j.record.Requests {
+		isAnswer := func(run Arrival) bool { return run.Odd == "" && run.Body == q.Body }
+		if q.Status == ok && !slices.ContainsFunc(runs[q.ID], isAnswer) {
+			j.report(RuleWhole, q.Done, q.Entry, "%s %s got a success of %d bytes that no server's answer has; runs: %+v", q.ID, q.Prefix, len(q.Body), runs[q.ID])
+		}
+	}
+}
+
 // refused checks that no order is refused.
 func (j *judge) refused() {
 	for _, o := range j.record.Orders {
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -176,3 +176,24 @@
 	differ := NewPlan(8, time.Minute, shape)
 	is.True(len(NewPlan(7, time.Minute, shape).Steps) != len(differ.Steps) || NewPlan(7, time.Minute, shape).Steps[0] != differ.Steps[0])
 }
+
+func TestSuccessThatIsNoWholeAnswerIsReported(t *testing.T) {
+	for name, c := range map[string]struct {
+		body string
+		odd  Oddity
+		want int
+	}{
+		"whole":          {"one by b1", "", 0},
+		"part":           {"one b", "", 1},
+		"of another":     {"two by b1", "", 1},
+		"no answer sent": {"one by b1", StatusZero, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHistory()
+			h.run(5, "one", "/a/", "loans")
+			h.record.Requests[0].Body = c.body
+			h.record.Runs[0].Body, h.record.Runs[0].Odd = "one by b1", c.odd
+			is.New(t).Equal(h.broken()[RuleWhole], c.want)
+		})
+	}
+}
--- a/soak/record.go
+++ b/soak/record.go
@@ -16,6 +16,8 @@
 	Done       time.Time
 	// Status is 0 if there was no whole answer.
 	Status int
+	// Body is that of a whole answer.
+	Body string
 	// Kept says whether the connection was used before.
 	Kept bool
 }
@@ -27,6 +29,9 @@
 	Pool   string
 	Centre string
 	At     time.Time
+	// Body is that of the answer, and Odd what is sent in its place, if anything.
+	Body string
+	Odd  Oddity
 }
 
 // Order is a call of the operator until it was acknowledged or given up.
--- a/soak/server.go
+++ b/soak/server.go
@@ -31,6 +31,7 @@
 	http             *http.Server
 	born             int64
 	count            int
+	answers          atomic.Int64
 	log              func(format string, args ...any)
 }
 
@@ -126,12 +127,76 @@
 		return
 	}
 	id := r.Header.Get(caller.RequestID)
-	s.record.run(Arrival{ID: id, Server: s.id, Pool: s.pool, Centre: s.centre, At: time.Now()})
+	body := fmt.Sprintf("%s by %s\n", id, s.id)
+	odd := s.oddity(r)
+	s.record.run(Arrival{ID: id, Server: s.id, Pool: s.pool, Centre: s.centre, At: time.Now(), Body: body, Odd: odd})
+	if odd != "" {
+		s.misbehave(w, odd, id, body)
+		return
+	}
 	io.Copy(io.Discard, r.Body)
 	time.Sleep(serviceTime)
 	w.Header().Set(caller.RequestID, id)
 	w.Header().Set(caller.Proof, "proof-"+id)
-	fmt.Fprintf(w, "%s by %s\n", id, s.id)
+	io.WriteString(w, body)
+}
+
+// Oddity is something that is sent in place of an answer.
+type Oddity string
+
+const (
+	// ResetUpload is a part of an answer without a length, and a reset while the upload is written.
+	ResetUpload Oddity = "reset-upload"
+	// StatusZero is an answer with the status 000.
+	StatusZero Oddity = "status-zero"
+	// BlankInName is a head in which the name of a field holds a blank.
+	BlankInName Oddity = "blank-in-name"
+)
+
+const (
+	// oddEvery is the number of answers of a server of which one is odd, and half of those to
+	// large uploads are: often enough for each oddity to show in a run of 30 seconds.
+	oddEvery      = 40
+	oddUpload     = 2
+	resetDelay    = 20 * time.Millisecond
+	largeUpload   = 2 << 20
+	largeEvery    = 60
+	answersPerOdd = 2
+)
+
+// oddity returns what to send in place of the answer, or "".
+func (s *server) oddity(r *http.Request) Oddity {
+	n := s.answers.Add(1)
+	switch {
+	case r.ContentLength == largeUpload && n%oddUpload == 0:
+		return ResetUpload
+	case n%oddEvery != 0:
+		return ""
+	case n/oddEvery%answersPerOdd == 0:
+		return StatusZero
+	}
+	return BlankInName
+}
+
+func (s *server) misbehave(w http.ResponseWriter, odd Oddity, id, body string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		s.log("odd answer of %s: %s", s.id, err)
+		return
+	}
+	defer conn.Close()
+	status, field := "200 OK", ""
+	switch odd {
+	case StatusZero:
+		status = "000 OK"
+	case BlankInName:
+		field = "Odd Name: 1\r\n"
+	}
+	fmt.Fprintf(conn, "HTTP/1.1 %s\r\n%s%s: %s\r\n%s: proof-%s\r\n\r\n%s", status, field, caller.RequestID, id, caller.Proof, id, body[:len(body)/2])
+	if tcp, ok := conn.(*net.TCPConn); ok && odd == ResetUpload {
+		time.Sleep(resetDelay)
+		tcp.SetLinger(0)
+	}
 }
 
 // clients send requests to all entries.
@@ -211,7 +276,11 @@
 	}
 	method, body := http.MethodGet, io.Reader(nil)
 	if !q.Idempotent {
-		method, body = http.MethodPost, bytes.NewReader([]byte("contract "+q.ID))
+		contract := []byte("contract " + q.ID)
+		if n%largeEvery == 0 {
+			contract = make([]byte, largeUpload)
+		}
+		method, body = http.MethodPost, bytes.NewReader(contract)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
 	defer cancel()
@@ -232,10 +301,11 @@
 	q.Sent = time.Now()
 	response, err := transport.RoundTrip(request)
 	if err == nil {
-		_, err = io.Copy(io.Discard, response.Body)
+		var answer []byte
+		answer, err = io.ReadAll(response.Body)
 		response.Body.Close()
 		if err == nil {
-			q.Status = response.StatusCode
+			q.Status, q.Body = response.StatusCode, string(answer)
 		}
 	}
 	q.Done = time.Now()
