Condemn a version of which half of the results are slow

The limit is 1.5 times with a standard error and a half. The histories have versions that are slow in part.

Tests: go test ./canary.

--- a/canary/compare.go
+++ b/canary/compare.go
@@ -34,10 +34,14 @@
 	// condemn their version, up to maxServerPart.
 	serverPart    = 1.0
 	maxServerPart = 0.35
-	// maxSlowdown is the factor on the usual latency that condemns a version, below that of a
-	// version that is several times slower and above that of a few cold servers, and
-	// serverSlowdown that of a single slow server.
-	maxSlowdown    = 1.8
+	// maxSlowdown is the factor on the usual latency that condemns a version. It is above that of
+	// a sixth of slow servers (5 times as slow), and below that of a version of which half of the results
+	// take several times as long. slowBound is the certainty, as far as less is not enough: the limit is
+	// far from no difference.
+	maxSlowdown = 1.5
+	slowBound   = 1.5
+	// serverSlowdown is the factor of a single slow server, which among few must not condemn its
+	// version up to mostSlowdown.
 	serverSlowdown = 5.0
 	mostSlowdown   = 2.5
 	// minSpread is the least standard deviation of the logarithm of latency: few results may
@@ -141,7 +145,7 @@
 	if s.bad >= minBad && s.bad-s.otherBad-errors*s.badError() > l.failures*s.results {
 		return fmt.Sprintf("%.0f of %.0f failed, %.1f on the others", s.bad, s.results, s.otherBad)
 	}
-	if s.good >= minGood && s.slower-errors*s.latencyError() > l.slowdown*s.good {
+	if s.good >= minGood && s.slower-min(errors, slowBound)*s.latencyError() > l.slowdown*s.good {
 		return fmt.Sprintf("%.2f times the latency of the others over %.0f results", math.Exp(s.slower/s.good), s.good)
 	}
 	return ""
