--- a/canary/compare.go
+++ b/canary/compare.go
@@ -100,8 +100,8 @@
 // measured returns the results from which the other versions are known.
 func (e *evidence) measured(base mark, route string, now time.Time) Stats {
 	other := lane{route, false}
-	s := base.since(e.totals)[other]
-	if near := e.at(now, nearTime).since(e.totals)[other]; near.Results > s.Results {
+	s := e.since(base, other)
+	if near := e.since(e.at(now, nearTime), other); near.Results > s.Results {
 		return near
 	}
 	return s
--- a/canary/evidence.go
+++ b/canary/evidence.go
@@ -213,11 +213,11 @@
 // same moment say more than many of the last seconds.
 func (e *evidence) others(route string, now time.Time) (s Stats) {
 	other := lane{route, false}
-	if s = e.at(now, markPeriod).since(e.totals)[other]; s.Results >= minMoment {
+	if s = e.since(e.at(now, markPeriod), other); s.Results >= minMoment {
 		return s
 	}
 	for _, span := range windows {
-		if s = e.at(now, span).since(e.totals)[other]; s.Results >= minOther {
+		if s = e.since(e.at(now, span), other); s.Results >= minOther {
 			break
 		}
 	}
@@ -235,8 +235,8 @@
 	return m
 }
 
-// since returns what was counted after the mark.
-func (m mark) since(t totals) totals { return t.minus(m.totals) }
+// since returns what was counted in a lane after a mark.
+func (e *evidence) since(m mark, l lane) Stats { return e.totals[l].minus(m.totals[l]) }
 
 // rate returns the results per second of all versions over the marks that are kept.
 func (e *evidence) rate() float64 {
