Keep more of a roll-out's time for a doubt that passes

A tenth of the duration is kept instead of a twelfth, and a doubt needs 20 results.

Tests: go test ./canary.

--- a/canary/canary.go
+++ b/canary/canary.go
@@ -116,9 +116,9 @@
 	minStep = 500 * time.Millisecond
 	// stepShare is the time of a step as a part of the duration.
 	stepShare = 0.05
-	// marginShare is the part of the duration that is kept for the decision to be known, and for
-	// the election of a leader.
-	marginShare = 1.0 / 12
+	// marginShare is the part of the duration that is kept for the decision to be known, for a
+	// doubt that passes, and for the election of a leader.
+	marginShare = 0.1
 	// maxMargin limits it: an election takes no longer.
 	maxMargin = 10 * time.Second
 	// maxDrainShare bounds the time for which other servers may still run requests.
--- a/canary/compare.go
+++ b/canary/compare.go
@@ -78,7 +78,7 @@
 				if text := s.exceeds(limits, bound); text != "" {
 					return "", fmt.Sprintf("route %q, %s: %s", part.route, spanText(span), text)
 				}
-				if text := s.exceeds(limits, doubtBound); text != "" && !(alone && span == 0) {
+				if text := s.exceeds(limits, doubtBound); text != "" && s.results >= minOther && !(alone && span == 0) {
 					doubt = fmt.Sprintf("in doubt, route %q, %s: %s", part.route, spanText(span), text)
 				}
 			}
