--- a/canary/canary.go
+++ b/canary/canary.go
@@ -170,6 +170,9 @@
 // requests by its deadline is rolled back: the servers that run are known to be sound, they end
 // for good with a completion, and an order can be given again.
 func (j *Judge) Decide(s Situation, now time.Time) Decision {
+	if j.share < 0 && s.Share > 0 {
+		j.trialRises = maxTrialRises // another leader has used the budget of the trial
+	}
 	if j.share != s.Share {
 		j.share, j.base, j.since = s.Share, j.evidence.totals.clone(), now
 	}
--- a/canary/canary_test.go
+++ b/canary/canary_test.go
@@ -90,8 +90,13 @@
 // the present one does.
 func TestNewLeaderRaisesTheShareAfterAStepOfItsOwn(t *testing.T) {
 	is := is.New(t)
-	s := Situation{Others: 5, Servers: 5, Share: 0.4}
-	d, at := play(newTestJudge(), s, 11*time.Second, 12*time.Second, steady)
+	s := Situation{Others: 5, Servers: 5, Share: 0.02}
+	d, at := play(newTestJudge(), s, 2*time.Second, 20*time.Second, steady)
+	is.Equal(d.Action, Raise)
+	is.Equal(d.Share, rises[0]) // the trial is what the last leader made of it
+	is.True(at > 5*time.Second)
+	s.Share = 0.4
+	d, at = play(newTestJudge(), s, 11*time.Second, 12*time.Second, steady)
 	is.Equal(d.Action, Raise)
 	is.True(at >= 11*time.Second+minStep)
 	s.Share = 1
