--- a/pick/version_test.go
+++ b/pick/version_test.go
@@ -56,3 +56,13 @@
 	is.Equal(len(WithoutRetired(bothVersions, "desk", state.State{})), 3)
 	is.Equal(len(Trial{}.Proven(bothVersions)), 3)
 }
+
+// Guards against a bad version that gets requests again as the next roll-out begins.
+func TestRejectedVersionStaysOut(t *testing.T) {
+	is := is.New(t)
+	r := state.Rollout{Pool: "desk", Version: "v3", Duration: state.Duration(time.Minute), Phase: state.RolloutRunning, Rejected: "v2"}
+	kept := WithoutRetired(bothVersions, "desk", stateWith(is, r))
+	is.Equal(len(kept), 2)
+	is.Equal([]string{kept[0].Name, kept[1].Name}, []string{"a1", "c"})
+	is.Equal(len(WithoutRetired(bothVersions[1:2], "desk", stateWith(is, r))), 1) // there are no others
+}
