--- a/canary/canary.go
+++ b/canary/canary.go
@@ -193,7 +193,7 @@
 	if s.Share >= 1 {
 		return j.completion(s, doubt, now)
 	}
-	if s.Elapsed >= j.order.Duration {
+	if s.Elapsed >= j.lastWord() {
 		return Decision{Action: RollBack, Reason: fmt.Sprintf("deadline at share %.3g", s.Share)}
 	}
 	if doubt != "" {
@@ -204,7 +204,7 @@
 
 // atDeadline rolls back at the deadline for a reason, and holds before.
 func (j *Judge) atDeadline(s Situation, reason string) Decision {
-	if s.Elapsed < j.order.Duration {
+	if s.Elapsed < j.lastWord() {
 		return Decision{Action: Hold, Reason: reason}
 	}
 	return Decision{Action: RollBack, Reason: "deadline: " + reason}
@@ -226,6 +226,15 @@
 	return min(j.order.Drain, time.Duration(maxDrainShare*float64(j.order.Duration)))
 }
 
+// margin is the time before the deadline at which a version that is good is completed.
+func (j *Judge) margin() time.Duration {
+	return min(maxMargin, time.Duration(marginShare*float64(j.order.Duration)))
+}
+
+// lastWord is the time since the order at which a version that is not known to be good is rolled
+// back: early enough that this is known at the deadline.
+func (j *Judge) lastWord() time.Duration { return j.order.Duration - j.margin()/2 }
+
 // step is the time between two rises.
 func (j *Judge) step() time.Duration {
 	return max(minStep, time.Duration(stepShare*float64(j.order.Duration)))
@@ -234,8 +243,7 @@
 // due returns when a share of rises is due. All are as late as the deadline allows: a version
 // that is good at first and bad later has got little by then.
 func (j *Judge) due(share float64) time.Duration {
-	margin := min(maxMargin, time.Duration(marginShare*float64(j.order.Duration)))
-	at := j.order.Duration - margin - j.drain() - settleTime
+	at := j.order.Duration - j.margin() - j.drain() - settleTime
 	for _, later := range rises {
 		if later > share {
 			at -= j.step() + settleTime
