Count a roll-out's time from its order

It goes by the wall clock of the order, bounded by what the way to a decision takes.

Tests: go test ./ctrl -run 'Rollout|BadVersion|OrderTime'.

--- a/ctrl/rollout.go
+++ b/ctrl/rollout.go
@@ -29,6 +29,9 @@
 	// replayTime is the time after the start of a process in which roll-outs that it first sees
 	// were ordered before.
 	replayTime = 5 * time.Second
+	// maxOrderAge is the age of an order that a running process first sees: a commit, and the time
+	// to the next decision. It bounds what a wrong wall clock can do.
+	maxOrderAge = 2 * rolloutPeriod
 	// maxDrain is the time for which a request may run at a server, at most, where its route has
 	// no deadline.
 	maxDrain = 10 * time.Second
@@ -128,14 +131,14 @@
 }
 
 // orderTime returns when a roll-out that this process sees for the first time was ordered. A
-// process that runs sees an order as it is accepted. One that starts goes by the wall clock, which
-// may be wrong: too late by the clock ends a roll-out early, never by a completion.
+// process that runs sees an order soon. One that starts goes by the wall clock, which may be wrong:
+// too late by the clock ends a roll-out early, never by a completion.
 func (c *Control) orderTime(r state.Rollout, now time.Time) time.Time {
-	elapsed := time.Duration(r.Elapsed)
-	if now.Sub(c.started) < replayTime {
-		elapsed = max(elapsed, now.Sub(time.UnixMilli(r.OrderedMillis)))
+	wall := now.Sub(time.UnixMilli(r.OrderedMillis))
+	if now.Sub(c.started) >= replayTime {
+		wall = min(wall, maxOrderAge)
 	}
-	return now.Add(-elapsed)
+	return now.Add(-max(time.Duration(r.Elapsed), wall, 0))
 }
 
 // runningRollouts returns the pools whose roll-outs are running, ordered by name.
--- a/ctrl/rollout_test.go
+++ b/ctrl/rollout_test.go
@@ -156,3 +156,28 @@
 	is.Equal(w.Code, 200)
 	is.True(strings.Contains(w.Body.String(), "stopped by test"))
 }
+
+// Guards against a deadline that moves with the wall clock of a running process, or that begins anew
+// when all processes are restarted.
+func TestOrderTimeAfterARestartIsThatOfTheWallClock(t *testing.T) {
+	is := is.New(t)
+	now := time.UnixMilli(1_000_000)
+	ordered := func(ago time.Duration, elapsed time.Duration) state.Rollout {
+		return state.Rollout{OrderedMillis: now.Add(-ago).UnixMilli(), Elapsed: state.Duration(elapsed)}
+	}
+	restarted, running := &Control{started: now.Add(-time.Second)}, &Control{started: now.Add(-time.Hour)}
+	for _, one := range []struct {
+		c             *Control
+		ago, recorded time.Duration
+		age           time.Duration
+	}{
+		{restarted, 7 * time.Second, 3 * time.Second, 7 * time.Second},
+		{restarted, -time.Minute, 3 * time.Second, 3 * time.Second},
+		{running, 100 * time.Millisecond, 0, 100 * time.Millisecond},
+		{running, time.Minute, 0, maxOrderAge},
+		{running, -time.Minute, 0, 0},
+		{running, time.Minute, 3 * time.Second, 3 * time.Second},
+	} {
+		is.Equal(now.Sub(one.c.orderTime(ordered(one.ago, one.recorded), now)), one.age)
+	}
+}
