Never serve a first state that differs from the leader's

An entry with when-cut-off = serve takes its first state after 2 s without evidence that it is current, also if the leader's beacon has shown that it differs at the same index: a state that was never accepted. It now waits for another one.

Found in review. The new test fails before; go test ./entry passes.

--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -142,6 +142,9 @@
 	err := t.checkComplete(s, now)
 	reason := "nothing newer is accepted"
 	if err != nil {
+		if errors.Is(err, ErrDiverged) {
+			return // no state at all is better than one that nobody accepted
+		}
 		if t.entry.options.OnPartition != PartitionServe || now.Sub(t.firstStateAt) < unconfirmedTimeout {
 			return
 		}
--- a/entry/freshness_test.go
+++ b/entry/freshness_test.go
@@ -47,3 +47,18 @@
 		is.True(tracker.checkCurrent(stateAt(2), manual.Now()) != nil)
 	}
 }
+
+// Guards against a first state that is known to differ from the leader's and is served all the same
+// once the entry has waited, since nobody sends another one.
+func TestDivergedFirstStateIsNotServedByACutOffEntry(t *testing.T) {
+	is := is.New(t)
+	tracker, manual := newTestTracker(PartitionServe)
+	tracker.leaderIndex, tracker.leaderDigest = 2, stateAt(2).Digest()+1
+	tracker.confirmState(stateAt(2), manual.Now())
+	manual.Advance(2 * unconfirmedTimeout)
+	tracker.confirmState(stateAt(2), manual.Now())
+	is.True(!tracker.isConfirmed())
+	tracker.leaderDigest = stateAt(2).Digest() // as the state that replaces it
+	tracker.confirmState(stateAt(2), manual.Now())
+	is.True(tracker.isConfirmed())
+}
