Found a group with its full size

Two of three founders that lost their disks before the group had five members left one that was no majority, and that could not know whether the group had grown without it.

Now the founders wait for up to 6 s for other control VMs, and the group begins with its full size. The founder with the lowest address among those that may found it chooses the members, from reports of the last second; the others adopt the group. A leader accepts tickets once all voters have synced the beginning of the log, or after 3 s. A smaller group accepts them at once, since its founders have waited. If a founder has a version that does not know this, all form the group of the founders.

--- a/ctrl/bootstrap.go
+++ b/ctrl/bootstrap.go
@@ -24,7 +24,7 @@
 		return
 	}
 	if !c.identity.IsMember {
-		c.bootstrapReplies[c.options.VM] = c.foundMessage(false)
+		c.bootstrapReplies[c.options.VM] = bootstrapReply{c.foundMessage(false), now}
 	}
 	for _, to := range c.bootstrapPeers() {
 		if _, heard := c.bootstrapReplies[to]; !heard || c.selfManaged() {
@@ -34,13 +34,59 @@
 	if c.identity.IsMember || !c.mayFound() {
 		return
 	}
-	missing := c.missingFounders()
-	if len(missing) == 0 {
-		c.bootstrapGroup()
+	missing := c.missingFounders(now)
+	if len(missing) > 0 {
+		c.foundersSince = time.Time{}
+	} else if c.foundersSince.IsZero() {
+		c.foundersSince = now
+	}
+	if len(missing) == 0 && c.isCoordinator(now) {
+		missing = c.bootstrapGroup(now)
 	}
 	c.recordMissing(missing)
 }
 
+// foundReportTimeout is far more than the ticks at which replicas ask each other, so that
+// a report is of the disk that its VM has now.
+const foundReportTimeout = time.Second
+
+// bootstrapReply is the report of a control VM that it has no group.
+type bootstrapReply struct {
+	*wire.Found
+	at time.Time
+}
+
+func (r bootstrapReply) recent(now time.Time) bool { return now.Sub(r.at) <= foundReportTimeout }
+
+// isCoordinator reports whether this replica chooses the members of a self-managed group: of the
+// founders that may form it, the one with the lowest address. Two founders might choose others.
+func (c *Control) isCoordinator(now time.Time) bool {
+	if !c.isCoordinated(now) {
+		return true
+	}
+	for _, m := range c.bootstrapReplies {
+		addr, err := netip.ParseAddrPort(m.GetAddr())
+		if err == nil && m.recent(now) && m.GetMayFound() && addr.Compare(c.options.Advertise) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// isCoordinated reports whether one founder chooses the members of the first group. While one of
+// them has a version that forms it of the founders alone, all do.
+func (c *Control) isCoordinated(now time.Time) bool {
+	if !c.selfManaged() {
+		return false
+	}
+	for vm, m := range c.bootstrapReplies {
+		if m.recent(now) && c.isFounder(vm, m.Found) && !m.GetCoordinated() {
+			return false
+		}
+	}
+	return true
+}
+
 // recordMissing logs which founders the first group waits for, once for each change.
 func (c *Control) recordMissing(missing []string) {
 	c.foundersMissing.Store(int64(len(missing)))
@@ -106,7 +152,7 @@
 
 // missingFounders returns the founders that have not reported yet that they have no group:
 // their addresses in a self-managed group, and their names otherwise.
-func (c *Control) missingFounders() []string {
+func (c *Control) missingFounders(now time.Time) []string {
 	var missing []string
 	if !c.selfManaged() {
 		for _, vm := range c.options.Replicas.Names() {
@@ -118,7 +164,7 @@
 	}
 	replies := slices.Collect(maps.Values(c.bootstrapReplies))
 	for _, seed := range c.options.Seeds {
-		reported := func(m *wire.Found) bool { return m.GetAddr() == seed.String() }
+		reported := func(m bootstrapReply) bool { return m.recent(now) && m.GetAddr() == seed.String() }
 		if !slices.ContainsFunc(replies, reported) {
 			missing = append(missing, seed.String())
 		}
@@ -156,7 +202,7 @@
 func (c *Control) foundMessage(ask bool) *wire.Found {
 	return &wire.Found{
 		Id: uint64(c.identity.ID), Vm: c.options.VM, Ask: ask, Addr: c.options.Advertise.String(),
-		Replicas: quorum.GroupToWire(c.node.Status().Group),
+		Replicas: quorum.GroupToWire(c.node.Status().Group), MayFound: c.mayFound(), Coordinated: true,
 	}
 }
 
@@ -181,9 +227,12 @@
 	if c.identity.IsMember || !founder && !c.selfManaged() {
 		return
 	}
+	if group.Len() > 0 {
+		delete(c.bootstrapReplies, from)
+	}
 	switch {
-	case group.Len() == 0 && founder:
-		c.bootstrapReplies[from] = m
+	case group.Len() == 0 && (founder || c.tracksReply(from)):
+		c.bootstrapReplies[from] = bootstrapReply{m, c.options.Clock.Now()}
 	case group.Len() > 0 && named && c.canAdopt(group):
 		c.adoptGroup(group)
 	case group.Len() > 0 && !named:
@@ -239,13 +288,40 @@
 	return quorum.Replica{ID: r.ID, VM: r.VM, Addr: r.Addr}
 }
 
-// bootstrapGroup forms a group of all founders that have reported.
-func (c *Control) bootstrapGroup() {
-	var replicas []quorum.Replica
-	for _, m := range c.bootstrapReplies {
-		replicas = append(replicas, quorum.Replica{ID: quorum.ID(m.GetId()), VM: m.GetVm(), Addr: m.GetAddr()})
+// tracksReply reports whether the report of a control VM that is no founder is stored.
+func (c *Control) tracksReply(vm string) bool {
+	_, known := c.bootstrapReplies[vm]
+	return c.selfManaged() && (known || len(c.bootstrapReplies) < maxJoining)
+}
+
+// otherControlVM stands for a control VM beside the founders in the log of what a founding waits for.
+const otherControlVM = "another-control-vm"
+
+// bootstrapGroup forms a group of all founders that have reported. It waits for a time for other
+// control VMs, and returns for whom, so that the group has its full size from the beginning: a group
+// of the founders alone stands still for good if a majority of them loses its disks.
+func (c *Control) bootstrapGroup(now time.Time) (missing []string) {
+	var founders, others []quorum.Replica
+	for vm, m := range c.bootstrapReplies {
+		r := quorum.Replica{ID: quorum.ID(m.GetId()), VM: m.GetVm(), Addr: m.GetAddr()}
+		switch {
+		case c.selfManaged() && !m.recent(now):
+		case c.isFounder(vm, m.Found):
+			founders = append(founders, r)
+		default:
+			others = append(others, r)
+		}
+	}
+	wanted := 0
+	if c.isCoordinated(now) {
+		wanted = max(0, c.options.fullSize()-len(founders))
+	}
+	if len(others) < wanted && now.Sub(c.foundersSince) < foundingTimeout {
+		return slices.Repeat([]string{otherControlVM}, wanted-len(others))
 	}
-	c.adoptGroup(quorum.NewGroup(replicas...))
+	slices.SortFunc(others, func(a, b quorum.Replica) int { return strings.Compare(a.VM, b.VM) })
+	c.adoptGroup(quorum.NewGroup(append(founders, others[:min(wanted, len(others))]...)...))
+	return nil
 }
 
 // adoptGroup makes this replica a founding member of a group.
@@ -261,8 +337,14 @@
 	if err != nil {
 		return
 	}
+	if c.isCoordinated(c.options.Clock.Now()) && g.VoterCount() < c.options.fullSize() {
+		c.groupSince = c.options.Clock.Now().Add(-formationTimeout) // the founders have waited
+	}
 	c.identity, c.node = next, node
 	c.setPeers(g)
+	for _, r := range g.Replicas() {
+		c.sendFound(r.VM, false)
+	}
 	c.options.EventLog.Record(event.ReplicaAdded, g.String(), "founded")
 }
 
--- a/ctrl/ctrl.go
+++ b/ctrl/ctrl.go
@@ -93,7 +93,9 @@
 	watchers     map[string]*watcher
 	// presentEntries is the number of entries that reported lately.
 	presentEntries   int
-	bootstrapReplies map[string]*wire.Found
+	bootstrapReplies map[string]bootstrapReply
+	// foundersSince is when all founders have reported, zero while one is missing.
+	foundersSince time.Time
 	// lastDivisionCheck is the time of the last check of the divisions, and dividedIndex the
 	// index of the state that was checked.
 	lastDivisionCheck time.Time
@@ -159,7 +161,7 @@
 		pending:          make(map[uint64]pendingProposal),
 		pendingReads:     make(map[uint64]chan quorum.ConfirmedRead),
 		watchers:         make(map[string]*watcher),
-		bootstrapReplies: make(map[string]*wire.Found),
+		bootstrapReplies: make(map[string]bootstrapReply),
 		joining:          make(map[string]joiningReplica),
 		lastHeard:        make(map[quorum.ID]time.Time),
 		contacts:         make(contacts),
--- a/ctrl/founding_test.go
+++ b/ctrl/founding_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"strings"
 	"testing"
@@ -11,6 +12,8 @@
 	"github.com/matryer/is"
 
 	"github.com/dottereldeal/dottereldeal/event"
+	"github.com/dottereldeal/dottereldeal/store"
+	"github.com/dottereldeal/dottereldeal/wire"
 )
 
 // Guards against a new group that never accepts a change, because founders were killed at some
@@ -93,3 +96,54 @@
 	g.await("complete group", 4*time.Second, func() bool { return g.complete(groupSize) })
 	is.Equal(n.missingFounderCount(), 0.0)
 }
+
+// Guards against founders that choose different members, or found a group that a majority of its
+// disks can be lost of although other control VMs are there.
+func TestGroupIsFoundedOnceWithItsFullSize(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	g := newTestGroup(t)
+	g.start(true, 0, 1, 2)
+	time.Sleep(300 * time.Millisecond)
+	for _, i := range []int{0, 1, 2} {
+		is.Equal(g.nodes[i].status.Load().Group.Len(), 0) // waits for the others
+	}
+	g.start(true, 3, 4)
+	g.await("complete group", 4*time.Second, func() bool { return g.complete(groupSize) })
+	g.stop(g.all()...)
+	var chosen string
+	for _, i := range g.all() {
+		folder, closeFolder := g.openFolder(i)
+		identity, known, err := store.LoadIdentity(folder)
+		closeFolder()
+		is.NoErr(err)
+		is.True(known)
+		is.Equal(identity.Founders.VoterCount(), groupSize)
+		if chosen == "" {
+			chosen = identity.Founders.String()
+		}
+		is.Equal(identity.Founders.String(), chosen)
+	}
+}
+
+// Guards against two first groups beside each other, where a founder has a version that forms it of
+// the founders alone.
+func TestFoundersOfAnEarlierVersionDecideWhoIsFounded(t *testing.T) {
+	is := is.New(t)
+	seeds := []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")}
+	c := &Control{options: newOptions(VM("c2"), Seeds(seeds), Bootstrap(true), Advertise(seeds[1]))}
+	now := time.Now()
+	report := func(vm string, m *wire.Found) {
+		c.bootstrapReplies = map[string]bootstrapReply{vm: {m, now}}
+	}
+	report("c1", &wire.Found{Addr: seeds[0].String(), Coordinated: true, MayFound: true})
+	is.True(c.isCoordinated(now))
+	is.True(!c.isCoordinator(now))
+	report("c1", &wire.Found{Addr: seeds[0].String(), Coordinated: true}) // it has lost its disk
+	is.True(c.isCoordinator(now))
+	report("c1", &wire.Found{Addr: seeds[0].String()})
+	is.True(!c.isCoordinated(now))
+	is.True(c.isCoordinator(now))
+	report("c4", &wire.Found{Addr: "10.0.0.4:1"}) // no founder
+	is.True(c.isCoordinated(now))
+}
--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -260,7 +260,7 @@
 // and logs changes of leadership.
 func (c *Control) publishStatus() {
 	s := c.node.Status()
-	c.reachedFullSize = c.reachedFullSize || s.Group.VoterCount() >= c.options.fullSize()
+	c.reachedFullSize = c.reachedFullSize || c.hasFullSize(s)
 	old := c.status.Swap(&s)
 	if old == nil || old.Leader == s.Leader && old.Term == s.Term {
 		return
--- a/ctrl/repair.go
+++ b/ctrl/repair.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/dottereldeal/dottereldeal/event"
@@ -18,6 +19,9 @@
 	// tickets after its start. A group of five is complete within a second;
 	// after the timeout a fleet with fewer VMs starts all the same.
 	formationTimeout = 3 * time.Second
+	// foundingTimeout is how long founders wait for other control VMs. It is twice formationTimeout,
+	// since a smaller group then accepts tickets at once.
+	foundingTimeout = 2 * formationTimeout
 	// maxReplicas limits the size of a self-managed group.
 	maxReplicas = 9
 )
@@ -213,6 +217,16 @@
 	return now.Sub(c.groupSince) < formationTimeout
 }
 
+// hasFullSize reports whether the full number of voters are known to be in the group: all of them
+// have synced the beginning of its log, or it has accepted tickets before.
+func (c *Control) hasFullSize(s quorum.Status) bool {
+	if s.Group.VoterCount() < c.options.fullSize() {
+		return false
+	}
+	isUnknown := func(r quorum.Replica) bool { return !r.Learner && s.Match[r.ID] == 0 }
+	return c.Ledger().State().Index() > 0 || !slices.ContainsFunc(s.Group.Replicas(), isUnknown)
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
