--- a/fake/fake.go
+++ b/fake/fake.go
@@ -53,6 +53,8 @@
 	Refuse bool
 	// Leaving is what responses say about whether the server leaves, if not empty.
 	Leaving string
+	// Another answers as another server that has taken over the address.
+	Another bool
 	// CrashPath ends the server when a request with this path has begun to run.
 	CrashPath string
 	// From limits the fault to requests from these entries; empty means all.
@@ -204,6 +206,10 @@
 	s.arrivals.Add(1)
 	s.recordArrival(r.Header.Get(workspaceHeader))
 	s.checkLeakedKeys(r)
+	if s.fault.Load().Another {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	if strings.HasPrefix(r.URL.Path, "/stream") {
 		s.stream(w, r)
 		return
--- a/local/leaving_test.go
+++ b/local/leaving_test.go
@@ -17,11 +17,19 @@
 // is ready. Requests went there until control heard of it.
 func TestServersThatSayInAnswersThatTheyLeaveGetNothingMore(t *testing.T) {
 	for _, placement := range []pool.PlacementMode{pool.PlacementHolder, pool.PlacementLocal} {
-		t.Run(string(placement), func(t *testing.T) { testLeaving(t, placement) })
+		t.Run(string(placement), func(t *testing.T) { testLeaving(t, placement, fake.Fault{Leaving: "1"}) })
 	}
 }
 
-func testLeaving(t *testing.T, placement pool.PlacementMode) {
+// The addresses of servers go to other services, which answer 421. Requests went there as long as the
+// registrations stayed, and some came back unserved although other servers stood idle.
+func TestAddressesThatAreAnotherServersGetNothingMore(t *testing.T) {
+	for _, placement := range []pool.PlacementMode{pool.PlacementHolder, pool.PlacementLocal} {
+		t.Run(string(placement), func(t *testing.T) { testLeaving(t, placement, fake.Fault{Another: true}) })
+	}
+}
+
+func testLeaving(t *testing.T, placement pool.PlacementMode, gone fake.Fault) {
 	is := is.New(t)
 	f, err := local.Start(local.Controls(1), local.Entries(3, "d1"), local.Folder(t.TempDir()), local.EntryOptions(entry.Placement(placement)))
 	is.NoErr(err)
@@ -38,7 +46,7 @@
 		return statuses
 	}
 	s.servers[2].SetFault(fake.Fault{Leaving: "0"}) // says nothing
-	s.servers[0].SetFault(fake.Fault{Leaving: "1"})
+	s.servers[0].SetFault(gone)
 	load(time.Second)
 	before, other := s.servers[0].Arrivals(), s.servers[2].Arrivals()
 	statuses := load(2 * time.Second)
@@ -48,7 +56,7 @@
 
 	// If all leave, callers hear it at once.
 	for _, server := range s.servers {
-		server.SetFault(fake.Fault{Leaving: "1"})
+		server.SetFault(gone)
 	}
 	load(time.Second)
 	started := time.Now()
