--- a/pool/placement.go
+++ b/pool/placement.go
@@ -7,6 +7,7 @@
 	"github.com/dottereldeal/dottereldeal/fleet"
 	"github.com/dottereldeal/dottereldeal/health"
 	"github.com/dottereldeal/dottereldeal/pick"
+	"github.com/dottereldeal/dottereldeal/sched"
 	"github.com/dottereldeal/dottereldeal/wire"
 )
 
@@ -34,9 +35,17 @@
 type OverloadError struct {
 	// RetryAfter is the time after which a slot is likely to be free.
 	RetryAfter time.Duration
+	// Reason is why, if the holder tells.
+	Reason sched.Reason
 }
 
-func (e *OverloadError) Error() string { return "no slot of the pool becomes free before the deadline" }
+func (e *OverloadError) Error() string {
+	const text = "no slot of the pool becomes free before the deadline"
+	if e.Reason == sched.ReasonNone {
+		return text
+	}
+	return text + " (" + string(e.Reason) + ")"
+}
 
 // After returns the time after which a slot is likely to be free.
 func (e *OverloadError) After() time.Duration { return e.RetryAfter }
@@ -121,10 +130,10 @@
 		objective = remaining
 	}
 	now := b.options.Clock.Now()
-	return request{
-		id: id, dataCentre: b.options.DataCentre, idempotent: r.Idempotent, rank: r.Rank, workspace: r.Workspace, route: r.Route,
-		print: r.Print, hedge: r.Hedge, avoid: r.Avoid, arrived: r.Arrived, bytes: r.Bytes, objective: now.Add(objective), deadline: now.Add(remaining),
-	}.wire(cell, now)
+	return requestToWire(sched.Request{
+		ID: id, DataCentre: b.options.DataCentre, Idempotent: r.Idempotent, Rank: r.Rank, Workspace: r.Workspace, Route: r.Route,
+		Print: r.Print, Hedge: r.Hedge, Avoid: r.Avoid, Arrived: r.Arrived, Bytes: r.Bytes, Objective: now.Add(objective), Deadline: now.Add(remaining),
+	}, cell, now)
 }
 
 // awaitSlot waits for the decision of the holder. It reports false, so that this VM chooses
@@ -151,7 +160,9 @@
 			case answer.GetQuarantined():
 				return pick.Choice{}, &pick.QuarantineError{Left: time.Duration(answer.GetRetryMicros()) * time.Microsecond}, true
 			case answer.GetTarget() == "":
-				return pick.Choice{}, &OverloadError{RetryAfter: time.Duration(answer.GetRetryMicros()) * time.Microsecond}, true
+				return pick.Choice{}, &OverloadError{
+					RetryAfter: time.Duration(answer.GetRetryMicros()) * time.Microsecond, Reason: sched.Reason(answer.GetReason()),
+				}, true
 			}
 			choice, ok := b.acceptSlot(w.cell, w.holder, m.GetId(), answer.GetTarget(), r.Label)
 			return choice, nil, ok
@@ -182,7 +193,7 @@
 // know the server yet, or knows that it must not be used, the slot is released.
 func (b *Balancer) acceptSlot(cell, holder string, id uint64, name, label string) (pick.Choice, bool) {
 	t, known := b.target(cell, name)
-	if !known || !pick.IsEligible(t, b.options.State()) || b.leaving.Load().has(t) {
+	if !known || !pick.IsEligible(t, b.options.State()) || b.leaving.Load().has(t) || b.isRetired(t) {
 		b.releaseSlot(cell, holder, id, health.Result{})
 		return pick.Choice{}, false
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -282,7 +282,8 @@
 			}
 			go func() {
 				defer conn.Close()
-				io.ReadFull(conn, make([]byte, 1)) // a reset before that fails the dial
+				// A reset that comes before the relay has seen its connection open is a failure to connect.
+				io.ReadFull(conn, make([]byte, 1))
 				io.WriteString(conn, "part")
 				time.Sleep(delay)
 				end(conn.(*net.TCPConn))
