Notice that a caller leaves although it has sent further requests

Cause: net/http reads one byte while a request runs and stops there if it belongs to a next request. A caller that had sent on and left was not noticed: the backend server worked to the end, and one more request reached one. A connection that was closed with such requests unread cut an answer of 1 MiB after 36,713 bytes, as the kernel discards what is not sent yet. Change: proxy.WatchCallers reads a connection ahead from that byte on, up to 16 KiB; its end cancels its requests. It is closed for writing first. Connections with TLS are served as before.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -249,7 +249,8 @@
 			}
 		})
 	}
-	serve(e.callersServer(), e.withTLS(e.listeners.Callers))
+	callers := e.callersServer()
+	serve(callers, e.callersListener(callers))
 	if e.listeners.Announce != nil {
 		serve(e.announceServer(), e.listeners.Announce)
 	}
@@ -294,12 +295,13 @@
 	return err
 }
 
-// withTLS adds TLS to the callers' listener if it has an identity.
-func (e *Entry) withTLS(l net.Listener) net.Listener {
+// callersListener returns the callers' listener. It uses TLS if it has an identity; otherwise
+// the server notices that a caller leaves although it has sent further requests.
+func (e *Entry) callersListener(server *http.Server) net.Listener {
 	if e.options.CallersIdentity == nil {
-		return l
+		return proxy.WatchCallers(server, e.listeners.Callers)
 	}
-	return tls.NewListener(l, e.options.CallersIdentity.ServerConfig(cert.NoClientCert, "h2", "http/1.1"))
+	return tls.NewListener(e.listeners.Callers, e.options.CallersIdentity.ServerConfig(cert.NoClientCert, "h2", "http/1.1"))
 }
 
 func (e *Entry) callersServer() *http.Server {
