Count on the room that a share adds to the proven servers

Cause: admission by work counted the slots of the proven servers only while a version was on trial, so that at a share of 0.9 what waits was judged by a fraction of the room; the rank order took the share of what arrives, refused requests included. Answers of a slow version on trial counted as the work of a route. Change: both count, beside the proven servers, what the share adds to them (versions.room); the work of a route is learned from the side with most requests. Measured by: go test ./sched; the property test of the share now runs with both orders of admission.

--- a/sched/admit.go
+++ b/sched/admit.go
@@ -19,14 +19,22 @@
 	if s.roomAt.Equal(now) || now.Sub(s.roomAt) < roomTTL && len(s.servers) == s.roomServers {
 		return s.room
 	}
-	s.room, s.roomAt, s.roomServers = 0, now, len(s.servers)
+	s.roomAt, s.roomServers = now, len(s.servers)
+	proven, onTrial := 0.0, 0.0
 	mean := s.admission.works.of("").mean
 	moment := s.model.At(now)
 	for _, srv := range s.servers {
-		if s.versions.acceptsForwarded(srv) && moment.Probability(srv.estimate) <= maxGrayNonIdempotent && !srv.rejecting(now) {
-			s.room += min(float64(srv.slots), srv.servedPerSecond(mean)*mean.Seconds()) * (1 - srv.shedShare(now))
+		if moment.Probability(srv.estimate) > maxGrayNonIdempotent || srv.rejecting(now) {
+			continue
+		}
+		slots := min(float64(srv.slots), srv.servedPerSecond(mean)*mean.Seconds()) * (1 - srv.shedShare(now))
+		if s.versions.acceptsForwarded(srv) {
+			proven += slots
+		} else {
+			onTrial += slots
 		}
 	}
+	s.room = s.versions.room(proven, onTrial)
 	if s.room == 0 && len(s.servers) > 0 {
 		s.room = 1
 	}
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -54,7 +54,7 @@
 			onTrial += srv.servedPerSecond(s.serviceTime)
 		}
 	}
-	served += min(onTrial, s.versions.trial.Share*s.backlog.perSecond)
+	served = s.versions.room(served, onTrial)
 	if served == 0 {
 		return 1 / max(s.serviceTime, time.Millisecond).Seconds()
 	}
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -378,10 +378,11 @@
 		s.evidence.failed(r, s.serviceTime)
 		s.blame(a.server, vm, now)
 	default:
-		if s.admission != nil {
+		isMain := s.versions.has(s.versions.mainSide(), a.server)
+		if s.admission != nil && isMain {
 			s.admission.works.learn(a.route, r.Latency, now)
 		}
-		if s.versions.has(s.versions.mainSide(), a.server) {
+		if isMain {
 			s.serviceTime += time.Duration(serviceTimeWeight * float64(r.Latency-s.serviceTime))
 		}
 		a.server.estimate = a.server.estimate.WithResult(s.model, false, a.seen, a.since)
--- a/sched/versions.go
+++ b/sched/versions.go
@@ -108,6 +108,15 @@
 	return !v.trial.Active() || v.has(provenSide, srv)
 }
 
+// room returns what can be counted on of the room of the proven servers and of those on trial. Under
+// load the latter get their share of what is sent, so that much beside the others.
+func (v *versions) room(proven, onTrial float64) float64 {
+	if !v.trial.Active() {
+		return proven
+	}
+	return proven + min(onTrial, proven*v.trial.Share/(1-v.trial.Share))
+}
+
 // mainSide returns the side that gets most requests. Only there does a server without requests
 // mean something, and the time that answers take.
 func (v *versions) mainSide() side {
