Leave no requests to a version that was rolled back when the next roll-out begins

Cause: the state names the version that the last roll-out was rolled back from, and holders and entries did not look at it; its servers drain for some seconds more. Change: pick.WithoutRetired removes them while there are others. Measured by: go test ./pick.

--- a/pick/version.go
+++ b/pick/version.go
@@ -9,12 +9,18 @@
 // roll-out: those of the new version while its share is 0 and once it has been rolled back, and all
 // others from the share 1 on. At that share the servers of other versions run what they have, since
 // they may be stopped as soon as the roll-out is completed. They are used again if there is no
-// server of the new version.
+// server of the new version. The version that an earlier roll-out was rolled back from gets nothing
+// while there are others.
 func WithoutRetired(targets []fleet.Target, pool string, current state.State) []fleet.Target {
 	rollout, known := state.Get[state.Rollout](current, pool)
 	if !known {
 		return targets
 	}
+	if rollout.Rejected != "" && rollout.Rejected != rollout.Version {
+		if others := ofVersion(targets, rollout.Rejected, false); len(others) > 0 {
+			targets = others
+		}
+	}
 	switch {
 	case rollout.Phase == state.RolloutRolledBack || rollout.Phase == state.RolloutRunning && rollout.Share <= 0:
 		return ofVersion(targets, rollout.Version, false)
--- a/pick/version_test.go
+++ b/pick/version_test.go
@@ -56,3 +56,14 @@
 	is.Equal(len(WithoutRetired(bothVersions, "desk", state.State{})), 3)
 	is.Equal(len(Trial{}.Proven(bothVersions)), 3)
 }
+
+// The servers of a version that was rolled back may still be there when the next roll-out begins.
+func TestRejectedVersionGetsNothingWhileThereAreOthers(t *testing.T) {
+	is := is.New(t)
+	r := state.Rollout{Pool: "desk", Version: "v3", Duration: state.Duration(time.Minute), Phase: state.RolloutRunning, Share: 0.3, Rejected: "v2"}
+	s := stateWith(is, r)
+	is.Equal(len(WithoutRetired(bothVersions, "desk", s)), 2) // without b1
+	is.Equal(len(WithoutRetired(bothVersions[1:2], "desk", s)), 1)
+	r.Rejected = r.Version
+	is.Equal(len(WithoutRetired(bothVersions, "desk", stateWith(is, r))), 3)
+}
