Count no request as work that goes before itself

A lone server with a limit refused a request that it could serve: the request's own work counted as demand of its rank.

--- a/sched/admission.go
+++ b/sched/admission.go
@@ -147,9 +147,14 @@
 	d.at = now
 }
 
+// decided adds a request to the work that arrives. It is called after the decision on it, as no
+// request goes before itself.
+func (a *admission) decided(req Request, now time.Time) {
+	a.demand[demandRank(req.Rank)].add(a.works.of(req.Route).mean.Seconds(), now)
+}
+
 // arrived counts a request that asks for a slot.
 func (a *admission) arrived(req Request, now time.Time) {
-	a.demand[demandRank(req.Rank)].add(a.works.of(req.Route).mean.Seconds(), now)
 	a.routes.offer(req.Route, now)
 	a.workspaces.offer(req.Workspace, now)
 }
@@ -186,10 +191,10 @@
 	}
 	inTime := a.canBeInTime(v.entry, now)
 	v.at = a.placeOf(v.entry, booked, inTime, now)
-	wait := a.wait(v.at, slots, now)
+	wait := a.wait(v.at, w, slots, now)
 	if inTime && now.Add(wait+w.likely).After(req.Objective) {
 		// It will lose its place to those that can still be in time.
-		wait = max(wait, a.wait(a.placeOf(v.entry, booked, false, now), slots, now))
+		wait = max(wait, a.wait(a.placeOf(v.entry, booked, false, now), w, slots, now))
 	}
 	spare := req.Deadline.Sub(now) - w.usual
 	switch {
@@ -254,23 +259,24 @@
 	return p.class > classLeastShare && (p.class-classLeastShare-1)%classesPerRank == class
 }
 
-// wait returns the time until a request at a place gets a slot: that for the work ahead of it,
-// and for what arrives meanwhile and goes before it.
-func (a *admission) wait(at place, slots float64, now time.Time) time.Duration {
-	return a.waitBehind(a.order.ahead(at), at, slots, now)
+// wait returns the time until a request at a place gets a slot.
+func (a *admission) wait(at place, w work, slots float64, now time.Time) time.Duration {
+	return a.waitFor(a.order.ahead(at)+w.mean.Seconds(), at, slots, now)
 }
 
-func (a *admission) waitBehind(ahead float64, at place, slots float64, now time.Time) time.Duration {
+// waitFor returns the time in which slots become free for the work of a request and of those
+// ahead of it, and for what arrives meanwhile and goes before it.
+func (a *admission) waitFor(load float64, at place, slots float64, now time.Time) time.Duration {
 	burst, usual := a.room(at, slots, now)
 	burst, usual = max(0, burst), max(0, usual)
 	wait := burstMemory.Seconds()
 	switch least := leastRoom * slots; {
-	case ahead <= 0 && burst > least:
+	case load <= 0 && burst > least:
 		return 0
-	case ahead <= burst*wait && burst > least:
-		wait = ahead / burst
+	case load <= burst*wait && burst > least:
+		wait = load / burst
 	case usual > least:
-		wait += (ahead - burst*wait) / usual
+		wait += (load - burst*wait) / usual
 	default:
 		return hopelessWait
 	}
@@ -367,11 +373,10 @@
 		return queued{}, ReasonNone, false
 	}
 	at, last := a.order.nth(a.order.len() - 1)
-	load := last.work.mean.Seconds()
 	reason = ReasonDisplaced
 	if a.order.len() > maxQueued {
 		reason = ReasonFull
-	} else if !now.Add(a.waitBehind(a.order.load()-load, at, slots, now) + last.work.usual).After(last.request.Deadline) {
+	} else if !now.Add(a.waitFor(a.order.load(), at, slots, now) + last.work.usual).After(last.request.Deadline) {
 		return queued{}, ReasonNone, false
 	}
 	q = *last
@@ -390,7 +395,7 @@
 	a.expired = a.expired[:0]
 	a.order.each(func(at place, load float64, q *queued) {
 		late := at.is(classInTime) && !a.canBeInTime(*q, now)
-		hopeless := now.Add(a.waitBehind(ahead, at, slots, now) + q.work.usual).After(q.request.Deadline)
+		hopeless := now.Add(a.waitFor(ahead+load, at, slots, now) + q.work.usual).After(q.request.Deadline)
 		if late || hopeless {
 			a.expired = append(a.expired, at)
 		} else {
@@ -399,13 +404,14 @@
 	})
 	for _, at := range a.expired {
 		q := *a.order.find(at)
-		switch {
-		case at.is(classInTime) && !now.Add(q.work.usual).After(q.request.Deadline) &&
-			!now.Add(a.wait(a.putBack(at, q, now), slots, now)+q.work.usual).After(q.request.Deadline):
-		default:
-			a.drop(a.places[q.request.key()], q)
-			refuse(q)
+		if at.is(classInTime) && !now.Add(q.work.usual).After(q.request.Deadline) {
+			at = a.putBack(at, q, now)
+			if !now.Add(a.wait(at, q.work, slots, now) + q.work.usual).After(q.request.Deadline) {
+				continue
+			}
 		}
+		a.drop(at, q)
+		refuse(q)
 	}
 }
 
--- a/sched/admission_bench_test.go
+++ b/sched/admission_bench_test.go
@@ -44,6 +44,7 @@
 					a.enqueue(v)
 				}
 				a.displace(slots, now)
+				a.decided(req, now)
 				if a.order.len() > n {
 					at, q := a.order.nth(0)
 					a.drop(at, *q)
--- a/sched/admit.go
+++ b/sched/admit.go
@@ -36,7 +36,9 @@
 // admit places a request by work: on a server, in the queue, in another cell, or nowhere.
 func (s *scheduler) admit(req Request, view poolView, now time.Time) Placement {
 	a := s.admission
+	a.cancel(req.key()) // an entry of an earlier version numbers its requests anew after each start
 	a.arrived(req, now)
+	defer a.decided(req, now)
 	if s.mustWait(req) {
 		return s.admitCopy(req, now)
 	}
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -268,7 +268,7 @@
 	}
 	if s.admission != nil {
 		slots := s.usableSlots(now)
-		return max(0, freeSlots-s.admission.order.len()), s.admission.waitBehind(s.admission.order.load(), place{}, slots, now)
+		return max(0, freeSlots-s.admission.order.len()), s.admission.waitFor(s.admission.order.load(), place{}, slots, now)
 	}
 	freeSlots = max(0, freeSlots-len(s.queue))
 	wait, _ = s.queueWait(Request{Objective: now.Add(hopelessWait), Deadline: now.Add(2 * hopelessWait)}, now)
