--- a/prog/status.go
+++ b/prog/status.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/dottereldeal/dottereldeal/conf"
 	"github.com/dottereldeal/dottereldeal/health"
+	"github.com/dottereldeal/dottereldeal/sched"
 )
 
 // processStatus is the answer of any process to /v1/status.
@@ -50,6 +53,8 @@
 		Ejected []string `json:"ejected"`
 		Ramping []string `json:"ramping"`
 		Floor   float64  `json:"floor"`
+		// Queues are those of the cells that the entry holds, by cell.
+		Queues map[string]sched.QueueStatus `json:"queues"`
 	} `json:"pools"`
 }
 
@@ -216,4 +221,24 @@
 		r.line(atFloor || eligible == 0, "pool %s: %d warm, %d cold, %d leaving, %d in data centres that are out; ejected [%s], ramping [%s], floor %.0f%%",
 			p.Pool, p.Warm, p.Cold, p.Leaving, p.Out, strings.Join(p.Ejected, " "), strings.Join(p.Ramping, " "), 100*p.Floor)
 	}
+	for _, e := range r.entries {
+		for _, p := range e.Pools {
+			for _, cell := range slices.Sorted(maps.Keys(p.Queues)) {
+				r.printQueue(cell, e.VM, p.Queues[cell])
+			}
+		}
+	}
+}
+
+// printQueue prints what waits in a cell, by rank, and the work of its routes.
+func (r *statusReport) printQueue(cell, holder string, q sched.QueueStatus) {
+	var waiting, routes []string
+	for _, rank := range slices.Sorted(maps.Keys(q.Waiting)) {
+		waiting = append(waiting, fmt.Sprintf("%d of rank %d", q.Waiting[rank], rank))
+	}
+	for _, route := range q.Routes {
+		routes = append(routes, fmt.Sprintf("%s %s (likely %s)", route.Route, route.Mean.Round(time.Millisecond), route.Likely.Round(time.Millisecond)))
+	}
+	r.line(false, "queue %s, held by %s: waiting [%s], %d of them late, %.1f s of work for %.0f slots; displaced %d, expected back %d; work [%s]",
+		cell, holder, strings.Join(waiting, ", "), q.Late, q.Seconds, q.Slots, q.Displaced, q.Booked, strings.Join(routes, ", "))
 }
