--- a/sched/admit.go
+++ b/sched/admit.go
@@ -13,8 +13,8 @@
 const roomTTL = 20 * time.Millisecond
 
 // usableSlots returns the number of slots that can be counted on: those of servers that are
-// likely to work, less the part that they turn away, and no more than a limit that they name
-// can fill.
+// likely to work, as far as their ramps are, less the part that they turn away, and no more
+// than a limit that they name can fill.
 func (s *scheduler) usableSlots(now time.Time) float64 {
 	if s.roomAt.Equal(now) || now.Sub(s.roomAt) < roomTTL && len(s.servers) == s.roomServers {
 		return s.room
@@ -23,9 +23,14 @@
 	mean := s.admission.works.of("").mean
 	moment := s.model.At(now)
 	for _, srv := range s.servers {
-		if moment.Probability(srv.estimate) <= maxGrayNonIdempotent && !srv.rejecting(now) {
-			s.room += min(float64(srv.slots), srv.servedPerSecond(mean)*mean.Seconds()) * (1 - srv.shedShare(now))
+		if srv.ejected || srv.rejecting(now) || moment.Probability(srv.estimate) > maxGrayNonIdempotent {
+			continue
+		}
+		slots := srv.slots
+		if srv.ramp != nil {
+			slots = min(slots, srv.ramp.Limit(now))
 		}
+		s.room += min(float64(slots), srv.servedPerSecond(mean)*mean.Seconds()) * (1 - srv.shedShare(now))
 	}
 	if s.room == 0 && len(s.servers) > 0 {
 		s.room = 1
--- a/sched/booking.go
+++ b/sched/booking.go
@@ -35,9 +35,13 @@
 	first   int64
 	since   time.Time
 	byPrint map[guard.Print]time.Time
+	// random returns a duration below another one.
+	random func(time.Duration) time.Duration
 }
 
-func newBookings() *bookings { return &bookings{byPrint: make(map[guard.Print]time.Time)} }
+func newBookings() *bookings {
+	return &bookings{byPrint: make(map[guard.Print]time.Time), random: rand.N[time.Duration]}
+}
 
 // advance empties the spans that have passed.
 func (b *bookings) advance(now time.Time) {
@@ -66,14 +70,14 @@
 			continue
 		}
 		*at += load
-		after := b.since.Add(time.Duration(b.first+span)*bookingStep).Sub(now) + rand.N(bookingStep)
+		after := b.since.Add(time.Duration(b.first+span)*bookingStep).Sub(now) + b.random(bookingStep)
 		if print != (guard.Print{}) && len(b.byPrint) < maxBookings {
 			b.byPrint[print] = now.Add(after)
 		}
 		return after
 	}
 	// Everything is booked that is of use: nothing is promised, and nobody returns together.
-	return bookingSteps*bookingStep/2 + rand.N(bookingSteps*bookingStep/2)
+	return bookingSteps*bookingStep/2 + b.random(bookingSteps*bookingStep/2)
 }
 
 // claim reports whether a request comes back as it was told, and ends its booking.
