--- a/sched/admission_test.go
+++ b/sched/admission_test.go
@@ -462,6 +462,25 @@
 	is.Equal(s.admission.working, 0.0)
 }
 
+// An entry that has started again numbers its requests anew. The earlier one of the same number
+// has no caller any more.
+func TestReusedNumberFreesTheEarlierPlace(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler()
+	s.admission = newAdmission()
+	view := poolView{ramp: func(string) *Ramp { return nil }, targets: newTargets(1)}
+	now := startTime
+	for range 3 {
+		for id := range uint64(10) {
+			s.place(Request{VM: "e", ID: id + 100, Objective: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, view, now)
+		}
+		is.Equal(s.admission.order.len(), len(s.admission.places))
+		is.True(s.admission.order.len() <= 10)
+	}
+	s.tick(view, now.Add(3*time.Second))
+	is.Equal(s.admission.order.len(), 0)
+}
+
 func TestOrderAgreesWithASortedList(t *testing.T) {
 	is := is.New(t)
 	random := rand.New(rand.NewPCG(1, 43))
