--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -5,6 +5,7 @@
 
 	"github.com/dottereldeal/dottereldeal/guard"
 	"github.com/dottereldeal/dottereldeal/health"
+	"github.com/dottereldeal/dottereldeal/pick"
 	"github.com/dottereldeal/dottereldeal/sched"
 	"github.com/dottereldeal/dottereldeal/wire"
 )
@@ -18,6 +19,8 @@
 	targets := b.cellServers(cell)
 	if !h.HasTargets(targets) {
 		h.SetTargets(targets, b.settings(cell), b.options.KeepConnections)
+		current := b.options.State()
+		h.SetTrial(pick.TrialOf(poolOfCell(cell, current), current), b.counter(cell, b.options.Clock.Now()))
 	}
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -64,6 +64,8 @@
 	// guard knows the requests that may crash servers.
 	guard     *guard.Table
 	decisions decisionCounter
+	// counters count the results of versions, by cell.
+	counters map[string]*cellCounter
 }
 
 // cellState is what this VM knows about one cell.
@@ -84,7 +86,7 @@
 	b := &Balancer{
 		options: newOptions(opts...), link: l, fleet: f, leases: leases,
 		cellStates: make(map[string]*cellState), holders: make(map[string]*sched.Holder), pending: make(map[uint64]*pendingRequest),
-		guard: guard.New(), lastID: link.FirstNumber(),
+		guard: guard.New(), lastID: link.FirstNumber(), counters: make(map[string]*cellCounter),
 	}
 	b.decisions = newDecisionCounter(b.options.Meter)
 	b.leaving.Store(&leavingServers{})
--- a/sched/admit.go
+++ b/sched/admit.go
@@ -23,7 +23,7 @@
 	mean := s.admission.works.of("").mean
 	moment := s.model.At(now)
 	for _, srv := range s.servers {
-		if srv.ejected || srv.rejecting(now) || moment.Probability(srv.estimate) > maxGrayNonIdempotent {
+		if srv.ejected || srv.rejecting(now) || !s.versions.acceptsForwarded(srv) || moment.Probability(srv.estimate) > maxGrayNonIdempotent {
 			continue
 		}
 		slots := srv.slots
@@ -67,8 +67,9 @@
 		return s.assign(req, srv, now)
 	}
 	v := a.judge(req, s.usableSlots(now), now)
-	pause, paused := s.allPaused(req.VM, now)
+	pause, paused := s.allPaused(req, now)
 	if to, ok := s.otherCell(req, v.wait && !paused, now); ok {
+		s.versions.sent(req, nil)
 		return Placement{Request: req, Forward: to}
 	}
 	if paused {
@@ -197,6 +198,7 @@
 	}
 	if to, ok := s.otherCell(req, true, now); ok {
 		s.admission.left(req, now)
+		s.versions.sent(req, nil)
 		return Placement{Request: req, Forward: to}
 	}
 	return s.refuse(req, ReasonDeadline, 0, now)
@@ -219,6 +221,7 @@
 		}
 		a.drop(at, q)
 		a.left(q.request, now)
+		s.versions.sent(q.request, nil)
 		placements = append(placements, Placement{Request: q.request, Forward: to})
 	}
 	return placements
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -17,8 +17,10 @@
 import (
 	"time"
 
+	"github.com/dottereldeal/dottereldeal/canary"
 	"github.com/dottereldeal/dottereldeal/fleet"
 	"github.com/dottereldeal/dottereldeal/health"
+	"github.com/dottereldeal/dottereldeal/pick"
 )
 
 // ReportInterval is the interval between the reports of an entry on a pool without failures.
@@ -39,6 +41,12 @@
 	return h
 }
 
+// SetTrial sets the share of the requests that a new version gets, and what counts the results of
+// the versions, or nil. It must follow SetTargets, which ends a trial.
+func (h *Holder) SetTrial(trial pick.Trial, counter *canary.Counter) {
+	h.view.trial, h.view.counter = trial, counter
+}
+
 // Since returns the time from which the VM has held the cell.
 func (h *Holder) Since() time.Time { return h.since }
 
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -4,9 +4,11 @@
 	"slices"
 	"time"
 
+	"github.com/dottereldeal/dottereldeal/canary"
 	"github.com/dottereldeal/dottereldeal/fleet"
 	"github.com/dottereldeal/dottereldeal/guard"
 	"github.com/dottereldeal/dottereldeal/health"
+	"github.com/dottereldeal/dottereldeal/pick"
 	"github.com/dottereldeal/dottereldeal/retry"
 )
 
@@ -101,6 +103,7 @@
 type assignment struct {
 	server    *server
 	workspace string
+	route     string
 	print     guard.Print
 	// boot is the server's when it was chosen.
 	boot  uint64
@@ -109,7 +112,6 @@
 	// final is set if no retry can follow this attempt.
 	final   bool
 	ramping bool
-	route   string
 	// work is what was counted for the workspace, in seconds.
 	work float64
 	// seen is the part of the failures that would have shown by now.
@@ -158,6 +160,9 @@
 	evidence     evidence
 	overflow     *overflow
 	backlog      backlog
+	versions     versions
+	// counter counts the results of the versions, nil while there is no roll-out.
+	counter *canary.Counter
 	// budget limits the retries of the whole fleet.
 	budget *retry.Budget
 	// assumedLimits are the limits of servers that are not in servers yet.
@@ -202,6 +207,10 @@
 	belowFloor bool
 	// idleTimeout is how long entries keep idle connections, 0 if they do not.
 	idleTimeout time.Duration
+	// trial is the share of the requests that a new version gets, and counter counts the results
+	// of the versions while a roll-out is running.
+	trial   pick.Trial
+	counter *canary.Counter
 }
 
 // place assigns, queues or rejects a request.
@@ -215,6 +224,7 @@
 		s.budget.Deposit()
 	}
 	s.backlog.arrived(now)
+	s.versions.arrived(req)
 	if req.Arrived && !req.Forwarded && !s.budget.Withdraw() {
 		return Placement{Request: req, RetryAfter: minRetryAfter, Reason: ReasonBudget}
 	}
@@ -229,9 +239,10 @@
 		return s.assign(req, srv, now)
 	}
 	_, possible := s.queueWait(req, now)
-	pause, paused := s.allPaused(req.VM, now)
+	pause, paused := s.allPaused(req, now)
 	possible = possible && !paused
 	if to, ok := s.otherCell(req, possible, now); ok {
+		s.versions.sent(req, nil)
 		return Placement{Request: req, Forward: to}
 	}
 	if paused {
@@ -262,7 +273,7 @@
 	s.sync(view, now)
 	moment := s.model.At(now)
 	for _, srv := range s.servers {
-		if srv.ramp == nil && !srv.ejected && moment.Probability(srv.estimate) <= maxGrayNonIdempotent {
+		if srv.ramp == nil && !srv.ejected && s.versions.acceptsForwarded(srv) && moment.Probability(srv.estimate) <= maxGrayNonIdempotent {
 			freeSlots += srv.freeSlots(now)
 		}
 	}
@@ -277,7 +288,7 @@
 
 // assign takes a slot for a request.
 func (s *scheduler) assign(req Request, srv *server, now time.Time) Placement {
-	a := assignment{final: !req.Idempotent || req.Arrived, server: srv, workspace: req.Workspace, print: req.Print, boot: srv.boot, since: now, until: req.Deadline.Add(abandonedAfter), route: req.Route}
+	a := assignment{final: !req.Idempotent || req.Arrived, server: srv, workspace: req.Workspace, route: req.Route, print: req.Print, boot: srv.boot, since: now, until: req.Deadline.Add(abandonedAfter)}
 	if srv.ramp != nil {
 		a.ramping = true
 		srv.ramp.Grant(now)
@@ -286,6 +297,7 @@
 		// An entry of an earlier version numbers its requests anew after each start.
 		s.release(req.key(), earlier)
 	}
+	s.versions.sent(req, srv)
 	if s.admission != nil {
 		a.work = s.admission.started(req)
 	}
@@ -333,6 +345,7 @@
 		s.observe(key.VM, a, r, now)
 	}
 	s.recordEvidence(a, r, now)
+	s.countVersion(key.VM, a, r, pathFailed, now)
 	return a.server.name, true
 }
 
@@ -368,7 +381,9 @@
 		if s.admission != nil {
 			s.admission.works.learn(a.route, r.Latency, now)
 		}
-		s.serviceTime += time.Duration(serviceTimeWeight * float64(r.Latency-s.serviceTime))
+		if s.versions.has(s.versions.mainSide(), a.server) {
+			s.serviceTime += time.Duration(serviceTimeWeight * float64(r.Latency-s.serviceTime))
+		}
 		a.server.estimate = a.server.estimate.WithResult(s.model, false, a.seen, a.since)
 	}
 }
