--- a/sched/admit.go
+++ b/sched/admit.go
@@ -13,8 +13,8 @@
 const roomTTL = 20 * time.Millisecond
 
 // usableSlots returns the number of slots that can be counted on: those of servers that are
-// likely to work, less the part that they turn away, and no more than a limit that they name
-// can fill.
+// likely to work, as far as their ramps are, less the part that they turn away, and no more
+// than a limit that they name can fill.
 func (s *scheduler) usableSlots(now time.Time) float64 {
 	if s.roomAt.Equal(now) || now.Sub(s.roomAt) < roomTTL && len(s.servers) == s.roomServers {
 		return s.room
@@ -24,14 +24,18 @@
 	mean := s.admission.works.of("").mean
 	moment := s.model.At(now)
 	for _, srv := range s.servers {
-		if moment.Probability(srv.estimate) > maxGrayNonIdempotent || srv.rejecting(now) {
+		if srv.ejected || srv.rejecting(now) || moment.Probability(srv.estimate) > maxGrayNonIdempotent {
 			continue
 		}
-		slots := min(float64(srv.slots), srv.servedPerSecond(mean)*mean.Seconds()) * (1 - srv.shedShare(now))
+		slots := srv.slots
+		if srv.ramp != nil {
+			slots = min(slots, srv.ramp.Limit(now))
+		}
+		usable := min(float64(slots), srv.servedPerSecond(mean)*mean.Seconds()) * (1 - srv.shedShare(now))
 		if s.versions.acceptsForwarded(srv) {
-			proven += slots
+			proven += usable
 		} else {
-			onTrial += slots
+			onTrial += usable
 		}
 	}
 	s.room = s.versions.room(proven, onTrial)
@@ -44,7 +48,19 @@
 // admit places a request by work: on a server, in the queue, in another cell, or nowhere.
 func (s *scheduler) admit(req Request, view poolView, now time.Time) Placement {
 	a := s.admission
+	a.cancel(req.key()) // an entry of an earlier version numbers its requests anew after each start
 	a.arrived(req, now)
+	placed := s.placeByWork(req, view, now)
+	if placed.Forward != (Destination{}) {
+		a.withdraw(req)
+	} else {
+		a.decided(req, now)
+	}
+	return placed
+}
+
+func (s *scheduler) placeByWork(req Request, view poolView, now time.Time) Placement {
+	a := s.admission
 	if s.mustWait(req) {
 		return s.admitCopy(req, now)
 	}
@@ -60,7 +76,6 @@
 	v := a.judge(req, s.usableSlots(now), now)
 	pause, paused := s.allPaused(req, now)
 	if to, ok := s.otherCell(req, v.wait && !paused, now); ok {
-		a.left(req)
 		s.versions.sent(req, nil)
 		return Placement{Request: req, Forward: to}
 	}
@@ -189,7 +204,7 @@
 		return Placement{Request: req, RetryAfter: minRetryAfter, Reason: ReasonCopy}
 	}
 	if to, ok := s.otherCell(req, true, now); ok {
-		s.admission.left(req)
+		s.admission.left(req, now)
 		s.versions.sent(req, nil)
 		return Placement{Request: req, Forward: to}
 	}
@@ -212,7 +227,7 @@
 			break
 		}
 		a.drop(at, q)
-		a.left(q.request)
+		a.left(q.request, now)
 		s.versions.sent(q.request, nil)
 		placements = append(placements, Placement{Request: q.request, Forward: to})
 	}
