Let a test of orders wait until the group accepts changes

Since groups are founded with their full size, a complete group may answer for a moment that it is still forming, until all voters hold the beginning of its log; callers ask again. What it checks is unchanged: both orders are still proposed in one step.

--- a/ctrl/order_test.go
+++ b/ctrl/order_test.go
@@ -139,11 +139,16 @@
 	}
 	answer := func() chan ledger.Outcome { return make(chan ledger.Outcome, 1) }
 	var first, second, other error
-	is.NoErr(n.do(ctx, func() {
+	propose := func() {
 		first = n.propose(order(dataCentre), answer())
 		second = n.propose(order(dataCentre), answer())
 		other = n.propose(order("fukuoka"), answer())
-	}))
+	}
+	is.NoErr(n.do(ctx, propose))
+	for errors.Is(first, ErrGroupTooSmall) { // not all voters hold the beginning of the log yet
+		time.Sleep(time.Millisecond)
+		is.NoErr(n.do(ctx, propose))
+	}
 	is.NoErr(first)
 	is.True(errors.Is(second, ErrOvertaken))
 	is.NoErr(other)
