--- a/ctrl/order_test.go
+++ b/ctrl/order_test.go
@@ -23,9 +23,20 @@
 	g.start(true, g.all()...)
 	g.await("complete group", 4*time.Second, func() bool { return g.complete(groupSize) })
 	leader = g.leader()
+	g.await("group that accepts changes", 4*time.Second, func() bool { return g.accepts(leader) })
 	return g, leader, (leader + 1) % groupSize
 }
 
+// accepts reports whether a leader accepts changes. A complete group does so once all voters hold the
+// beginning of its log.
+func (g *testGroup) accepts(leader int) bool {
+	n, forming := g.nodes[leader], true
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	err := n.do(ctx, func() { forming = n.forming(n.options.Clock.Now()) })
+	return err == nil && !forming
+}
+
 // order gives an order to a replica as a caller does that has just read the state there.
 func (g *testGroup) order(ctx context.Context, i int, s state.DataCentreState) error {
 	g.tb.Helper()
@@ -139,16 +150,11 @@
 	}
 	answer := func() chan ledger.Outcome { return make(chan ledger.Outcome, 1) }
 	var first, second, other error
-	propose := func() {
+	is.NoErr(n.do(ctx, func() {
 		first = n.propose(order(dataCentre), answer())
 		second = n.propose(order(dataCentre), answer())
 		other = n.propose(order("fukuoka"), answer())
-	}
-	is.NoErr(n.do(ctx, propose))
-	for errors.Is(first, ErrGroupTooSmall) { // not all voters hold the beginning of the log yet
-		time.Sleep(time.Millisecond)
-		is.NoErr(n.do(ctx, propose))
-	}
+	}))
 	is.NoErr(first)
 	is.True(errors.Is(second, ErrOvertaken))
 	is.NoErr(other)
