--- a/ctrl/inforce.go
+++ b/ctrl/inforce.go
@@ -39,14 +39,22 @@
 	if leaderFor < fresh.MaxStaleness && !c.firstTicket(index) || leaderFor < watcherDiscoveryTime {
 		return false
 	}
+	return c.acknowledged(index, func(w *watcher) bool {
+		isStopped := !w.serving && now.Sub(w.lastHeard) < reportTimeout && now.Sub(c.lastChange) > nonServingWait
+		return !w.leaving && !isStopped && now.Sub(w.lastHeard) < fresh.MaxStaleness
+	})
+}
+
+// acknowledged reports whether all entries that are waited for have acknowledged index, and at
+// least as many entries as those count as members.
+func (c *Control) acknowledged(index uint64, awaited func(*watcher) bool) bool {
 	acknowledged, members := 0, 0
 	for _, w := range c.watchers {
 		switch {
 		case w.index >= index:
 			acknowledged++
 			members = max(members, w.members)
-		case w.leaving, !w.serving && now.Sub(w.lastHeard) < reportTimeout && now.Sub(c.lastChange) > nonServingWait:
-		case now.Sub(w.lastHeard) < fresh.MaxStaleness:
+		case awaited(w):
 			return false
 		}
 	}
--- a/ctrl/rollout.go
+++ b/ctrl/rollout.go
@@ -200,17 +200,7 @@
 // shareAcknowledged reports whether all entries that this leader hears from have acknowledged a
 // state index. It proves less than inForce, for which a new leader waits too long.
 func (c *Control) shareAcknowledged(index uint64, now time.Time) bool {
-	acknowledged, members := 0, 0
-	for _, w := range c.watchers {
-		switch {
-		case w.index >= index:
-			acknowledged++
-			members = max(members, w.members)
-		case w.present(now):
-			return false
-		}
-	}
-	return acknowledged >= members
+	return c.acknowledged(index, func(w *watcher) bool { return w.present(now) })
 }
 
 // nextRollout returns a roll-out after a decision.
--- a/entry/rollout.go
+++ b/entry/rollout.go
@@ -29,7 +29,7 @@
 func (w *configWatcher) reportTargets(now time.Time) []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.controls) == 0 || now.Sub(w.lastResponse) > controlTimeout {
+	if !w.controlRespondsLocked(now) {
 		return w.knownControls()
 	}
 	return []string{w.controls[w.current]}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -92,11 +92,10 @@
 func (w *configWatcher) requestTargets(now time.Time) (primary []string, secondary string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	timedOut := now.Sub(w.lastResponse) > controlTimeout
-	if timedOut && len(w.controls) > 0 {
-		w.current = (w.current + 1) % len(w.controls)
-	}
-	if timedOut || len(w.controls) == 0 {
+	if !w.controlRespondsLocked(now) {
+		if len(w.controls) > 0 {
+			w.current = (w.current + 1) % len(w.controls)
+		}
 		return w.knownControls(), ""
 	}
 	w.secondary = (w.secondary + 1) % len(w.controls)
@@ -109,6 +108,11 @@
 	return []string{w.controls[w.current]}, secondary
 }
 
+// controlRespondsLocked reports whether a control VM is known and the one in use responds.
+func (w *configWatcher) controlRespondsLocked(now time.Time) bool {
+	return len(w.controls) > 0 && now.Sub(w.lastResponse) <= controlTimeout
+}
+
 // knownControls returns the names of the control VMs and the addresses of the seeds.
 func (w *configWatcher) knownControls() []string {
 	list := slices.Clone(w.controls)
--- a/pool/cell.go
+++ b/pool/cell.go
@@ -21,21 +21,15 @@
 // servers on. Cells lie within data centres, so that most requests are placed and served
 // without leaving theirs.
 
-// cellSeparator separates the name of a pool from the part that names the cell.
-const cellSeparator = state.CellSeparator
-
 // cellOf returns the cell of a server.
 func cellOf(t fleet.Target, d state.Division) string {
 	if d.CellsPerDataCentre == 0 {
 		return t.Pool
 	}
 	number := xxhash.Sum64String(t.Name) % uint64(d.CellsPerDataCentre)
-	return t.Pool + cellSeparator + t.DataCentre + "." + strconv.FormatUint(number, 10)
+	return t.Pool + state.CellSeparator + t.DataCentre + "." + strconv.FormatUint(number, 10)
 }
 
-// poolOfCell returns the pool that a cell belongs to.
-func poolOfCell(cell string, s state.State) string { return s.PoolOfCell(cell) }
-
 // LeaseName returns the name of the lease of a cell.
 func LeaseName(cell string) string { return leasePrefix + cell }
 
@@ -45,7 +39,7 @@
 // string for other leases and for cells without a data centre.
 func LeaseDataCentre(lease string) string {
 	cell, isCell := strings.CutPrefix(lease, leasePrefix)
-	at, dot := strings.LastIndex(cell, cellSeparator), strings.LastIndex(cell, ".")
+	at, dot := strings.LastIndex(cell, state.CellSeparator), strings.LastIndex(cell, ".")
 	if !isCell || at < 0 || dot < at {
 		return ""
 	}
@@ -156,23 +150,23 @@
 
 // cellServers returns the eligible servers of a cell.
 func (b *Balancer) cellServers(cell string) []fleet.Target {
-	return b.servers(poolOfCell(cell, b.options.State())).cells[cell]
+	return b.servers(b.options.State().PoolOfCell(cell)).cells[cell]
 }
 
 // localServers returns the servers of a cell that this VM chooses from by itself.
 func (b *Balancer) localServers(cell string) []fleet.Target {
-	return b.servers(poolOfCell(cell, b.options.State())).local[cell]
+	return b.servers(b.options.State().PoolOfCell(cell)).local[cell]
 }
 
 // target returns a backend server of the pool of a cell by name.
 func (b *Balancer) target(cell, name string) (fleet.Target, bool) {
-	return b.fleet.Directory().Target(poolOfCell(cell, b.options.State()), name)
+	return b.fleet.Directory().Target(b.options.State().PoolOfCell(cell), name)
 }
 
 // settings returns the settings of the pool of a cell.
 func (b *Balancer) settings(cell string) state.Pool {
 	current := b.options.State()
-	settings, _ := state.Get[state.Pool](current, poolOfCell(cell, current))
+	settings, _ := state.Get[state.Pool](current, current.PoolOfCell(cell))
 	return settings
 }
 
--- a/pool/cell_test.go
+++ b/pool/cell_test.go
@@ -27,7 +27,7 @@
 	for cell, targets := range divided.cells {
 		total += len(targets)
 		is.Equal(LeaseDataCentre(LeaseName(cell)), targets[0].DataCentre)
-		is.Equal(poolOfCell(cell, state.State{}), "desk")
+		is.Equal(state.State{}.PoolOfCell(cell), "desk")
 	}
 	is.Equal(total, 90)
 	homes := make(map[string]int)
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -20,7 +20,7 @@
 	if !h.HasTargets(targets) {
 		h.SetTargets(targets, b.settings(cell), b.options.KeepConnections)
 		current := b.options.State()
-		h.SetTrial(pick.TrialOf(poolOfCell(cell, current), current), b.counter(cell, b.options.Clock.Now()))
+		h.SetTrial(pick.TrialOf(current.PoolOfCell(cell), current), b.counter(cell, b.options.Clock.Now()))
 	}
 }
 
@@ -118,7 +118,7 @@
 // the holders of the pool's other cells its load.
 func (b *Balancer) tickScheduler(cell string, now time.Time) {
 	cutOff := b.cutOffEntries()
-	divided := len(b.cells(poolOfCell(cell, b.options.State()))) > 1
+	divided := len(b.cells(b.options.State().PoolOfCell(cell))) > 1
 	b.mu.Lock()
 	h := b.localHolder(cell)
 	if h == nil {
@@ -143,7 +143,7 @@
 // sendLoad tells the holders of the other cells of a pool the load of a cell.
 func (b *Balancer) sendLoad(load *wire.CellLoad, now time.Time) {
 	told := make(map[string]bool)
-	for _, other := range b.cells(poolOfCell(load.GetCell(), b.options.State())) {
+	for _, other := range b.cells(b.options.State().PoolOfCell(load.GetCell())) {
 		vm, known := b.holderVM(other)
 		if other == load.GetCell() || !known || told[vm] {
 			continue
@@ -159,12 +159,12 @@
 
 // receiveLoad records the load of a cell for all other cells of its pool held by this VM.
 func (b *Balancer) receiveLoad(from string, m *wire.CellLoad, now time.Time) {
-	pool := poolOfCell(m.GetCell(), b.options.State())
+	pool := b.options.State().PoolOfCell(m.GetCell())
 	load := sched.CellLoad{VM: from, FreeSlots: int(m.GetFreeSlots()), Wait: time.Duration(m.GetWaitMicros()) * time.Microsecond, ReportedAt: now}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for cell, h := range b.holders {
-		if cell != m.GetCell() && poolOfCell(cell, b.options.State()) == pool {
+		if cell != m.GetCell() && b.options.State().PoolOfCell(cell) == pool {
 			h.ReportLoad(m.GetCell(), load)
 		}
 	}
--- a/pool/leaving.go
+++ b/pool/leaving.go
@@ -89,7 +89,7 @@
 		return nil
 	}
 	var list leavingServers
-	for _, t := range b.servers(poolOfCell(cell, b.options.State())).leaving[cell] {
+	for _, t := range b.servers(b.options.State().PoolOfCell(cell)).leaving[cell] {
 		if list == nil {
 			list = make(leavingServers)
 		}
--- a/pool/options.go
+++ b/pool/options.go
@@ -75,7 +75,7 @@
 	if !b.options.retryBudgetSet {
 		return nil
 	}
-	cells := len(b.cells(poolOfCell(cell, b.options.State())))
+	cells := len(b.cells(b.options.State().PoolOfCell(cell)))
 	return []retry.Option{retry.Ratio(b.options.RetryRatio), retry.Slack(b.options.RetrySlack, func() int { return max(1, cells) })}
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -243,7 +243,7 @@
 	if !ok || !h.Since().Equal(since) {
 		h = sched.New(
 			sched.Since(since), sched.RetryBudget(b.retryBudget(cell)...), sched.Evidence(b.guard, cell), sched.Admission(b.options.Admission),
-			sched.Limits(b.knownLimits(poolOfCell(cell, b.options.State()))),
+			sched.Limits(b.knownLimits(b.options.State().PoolOfCell(cell))),
 		)
 		for _, name := range b.cellState(cell).status.Cold {
 			b.markCold(h, cell, name)
--- a/pool/rollout.go
+++ b/pool/rollout.go
@@ -24,7 +24,7 @@
 // counter returns the counter of a cell while a roll-out of its pool is running, otherwise nil.
 func (b *Balancer) counter(cell string, now time.Time) *canary.Counter {
 	current := b.options.State()
-	if r, known := state.Get[state.Rollout](current, poolOfCell(cell, current)); !known || r.Phase != state.RolloutRunning {
+	if r, known := state.Get[state.Rollout](current, current.PoolOfCell(cell)); !known || r.Phase != state.RolloutRunning {
 		return nil
 	}
 	c, known := b.counters[cell]
--- a/pool/throttle.go
+++ b/pool/throttle.go
@@ -103,7 +103,7 @@
 	limits := make(map[string]float64)
 	current := b.options.State()
 	for cell, cs := range b.cellStates {
-		if poolOfCell(cell, current) != pool {
+		if current.PoolOfCell(cell) != pool {
 			continue
 		}
 		for name, s := range cs.servers {
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -61,9 +61,8 @@
 	case f.outcome == NotRun && errors.As(f.cause, &quarantine):
 		return problemQuarantined.withRetryAfter(quarantine.Left)
 	case f.outcome == NotRun:
-		var retryable interface{ After() time.Duration }
-		if errors.As(f.cause, &retryable) {
-			return problemNoTarget.withDetail(f.cause.Error()).withRetryAfter(retryable.After())
+		if after, ok := retryDelayOf(f.cause); ok {
+			return problemNoTarget.withDetail(f.cause.Error()).withRetryAfter(after)
 		}
 		if f.kind != "" {
 			// Another server, or the same one, may well take the request a moment later.
@@ -77,6 +76,16 @@
 	}
 }
 
+// retryDelayOf returns the time after which an attempt that the picker refused may be possible, if
+// its error says so.
+func retryDelayOf(err error) (time.Duration, bool) {
+	var retryable interface{ After() time.Duration }
+	if !errors.As(err, &retryable) {
+		return 0, false
+	}
+	return retryable.After(), true
+}
+
 // errPanicked is the cause of attempts that panicked, which is not the backend server's fault.
 var errPanicked = errors.New("the attempt could not be handled")
 
--- a/proxy/retry.go
+++ b/proxy/retry.go
@@ -78,7 +78,7 @@
 	r := pick.Request{
 		Route: x.route.Name, Avoid: tried, Idempotent: x.route.Idempotent, Rank: x.route.Rank, Timeout: deadline.remaining(), Bytes: x.body.length,
 		Print: x.fingerprint(), Label: x.request.Method + " " + x.request.URL.Path,
-		Objective: time.Duration(x.route.Objective) - x.handler.options.Clock.Now().Sub(x.receivedAt),
+		Objective: x.objectiveLeft(),
 	}
 	if r.Print == (guard.Print{}) {
 		r.LatePrint = x.latePrint
@@ -89,10 +89,15 @@
 			r.Rank = *x.workspace.Rank
 		}
 	}
+	return r
+}
+
+// objectiveLeft returns the time until the answer loses value, 0 if it never does.
+func (x *exchange) objectiveLeft() time.Duration {
 	if x.route.Objective == 0 {
-		r.Objective = 0
+		return 0
 	}
-	return r
+	return time.Duration(x.route.Objective) - x.handler.options.Clock.Now().Sub(x.receivedAt)
 }
 
 // maxAttempts returns the maximum number of backend servers that the request may reach.
@@ -245,14 +250,10 @@
 	if errors.As(refusal, &quarantine) || !errors.Is(refusal, pick.ErrRetryBudget) && !errors.Is(refusal, pick.ErrNoServer) {
 		return
 	}
-	var after time.Duration
-	var retryable interface{ After() time.Duration }
-	if errors.As(refusal, &retryable) {
-		after = retryable.After()
-	}
+	after, _ := retryDelayOf(refusal)
 	x := l.exchange
 	left := l.deadline.remaining()
-	if objective := time.Duration(x.route.Objective) - x.handler.options.Clock.Now().Sub(x.receivedAt); objective > 0 {
+	if objective := x.objectiveLeft(); objective > 0 {
 		left = min(left, objective)
 	}
 	if wait, ok := l.pauses.next(after, x.handler.options.Picker.HedgeDelay(x.pool), left, rand.Float64()); ok {
--- a/sched/admission_test.go
+++ b/sched/admission_test.go
@@ -152,9 +152,10 @@
 					next.attempts, next.at = 1, now.Add(p.RetryAfter)
 					next.req.Objective = next.at.Add(c.kind.objective) // entries don't know that it came before
 					r.returned++
-					if s.admission != nil && s.admission.bookings.has(c.req.Print) {
-						next.promised = true
-						r.promised++
+					if s.admission != nil {
+						if _, next.promised = s.admission.bookings.byPrint[c.req.Print]; next.promised {
+							r.promised++
+						}
 					}
 					coming = append(coming, next)
 				}
--- a/sched/admit.go
+++ b/sched/admit.go
@@ -76,8 +76,7 @@
 	v := a.judge(req, s.usableSlots(now), now)
 	pause, paused := s.allPaused(req, now)
 	if to, ok := s.otherCell(req, v.wait && !paused, now); ok {
-		s.versions.sent(req, nil)
-		return Placement{Request: req, Forward: to}
+		return s.leave(req, to)
 	}
 	if paused {
 		return Placement{Request: req, RetryAfter: min(max(pause, minRetryAfter), maxRetryAfter), Reason: ReasonPaused}
@@ -205,8 +204,7 @@
 	}
 	if to, ok := s.otherCell(req, true, now); ok {
 		s.admission.left(req, now)
-		s.versions.sent(req, nil)
-		return Placement{Request: req, Forward: to}
+		return s.leave(req, to)
 	}
 	return s.refuse(req, ReasonDeadline, 0, now)
 }
@@ -228,8 +226,7 @@
 		}
 		a.drop(at, q)
 		a.left(q.request, now)
-		s.versions.sent(q.request, nil)
-		placements = append(placements, Placement{Request: q.request, Forward: to})
+		placements = append(placements, s.leave(q.request, to))
 	}
 	return placements
 }
--- a/sched/booking.go
+++ b/sched/booking.go
@@ -90,12 +90,6 @@
 	return now.Before(at.Add(bookingGrace))
 }
 
-// has reports whether a request is expected to come back.
-func (b *bookings) has(print guard.Print) bool {
-	_, known := b.byPrint[print]
-	return known
-}
-
 // expire forgets the bookings of requests that did not come back.
 func (b *bookings) expire(now time.Time) {
 	for print, at := range b.byPrint {
--- a/sched/overflow.go
+++ b/sched/overflow.go
@@ -84,6 +84,13 @@
 	return to, ok
 }
 
+// leave leaves a request to another cell. It is still one of those that this cell sends on, of which
+// the version on trial gets its share.
+func (s *scheduler) leave(req Request, to Destination) Placement {
+	s.versions.sent(req, nil)
+	return Placement{Request: req, Forward: to}
+}
+
 // current returns the sorted names of the cells whose load is known, and forgets the others.
 func (o *overflow) current(now time.Time) []string {
 	if len(o.cells) == 0 {
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -120,8 +120,7 @@
 		if !ok {
 			return placements
 		}
-		s.versions.sent(s.queue[best], nil)
-		placements = append(placements, Placement{Request: s.queue[best], Forward: to})
+		placements = append(placements, s.leave(s.queue[best], to))
 		s.queue = slices.Delete(s.queue, best, best+1)
 	}
 }
@@ -147,8 +146,7 @@
 			return true
 		}
 		if to, ok := s.otherCell(req, true, now); ok {
-			s.versions.sent(req, nil)
-			placements = append(placements, Placement{Request: req, Forward: to})
+			placements = append(placements, s.leave(req, to))
 		} else {
 			placements = append(placements, s.placeRegardless(req, s.retryAfter(0, s.servedPerSecond(now)), now))
 		}
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -242,8 +242,7 @@
 	pause, paused := s.allPaused(req, now)
 	possible = possible && !paused
 	if to, ok := s.otherCell(req, possible, now); ok {
-		s.versions.sent(req, nil)
-		return Placement{Request: req, Forward: to}
+		return s.leave(req, to)
 	}
 	if paused {
 		return Placement{Request: req, RetryAfter: min(max(pause, minRetryAfter), maxRetryAfter)}
