--- a/review/rig-2/own503.go
+++ b/review/rig-2/own503.go
@@ -13,10 +13,10 @@
 func playOwn503(r *rig) (verdict, error) {
 	const (
 		targets   = 7
-		clients   = 12
+		clients   = 60
 		span      = 20 * time.Second
-		pause     = 150 * time.Millisecond
-		work      = 40 * time.Millisecond
+		pause     = 400 * time.Millisecond
+		work      = 190 * time.Millisecond
 		greyFrom  = 4 * time.Second
 		greyFor   = 6500 * time.Millisecond
 		greyShare = 0.4
