--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -51,8 +51,8 @@
 		return answer{err: err}
 	}
 	request.Host = host
-	request.Header.Set("Request-Id", id)
-	request.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	request.Header.Set(names.RequestID, id)
+	request.Header.Set(names.Deadline, fmt.Sprint(deadline.Milliseconds()))
 	request.Header.Set("Authorization", "Token "+key)
 	for _, set := range more {
 		set(request.Header)
@@ -67,6 +67,6 @@
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
-	c.rig.record.printf("%s answered %d, %d bytes, seal %q, error %v", id, response.StatusCode, len(data), response.Header.Get("Response-Seal"), err)
+	c.rig.record.printf("%s answered %d, %d bytes, seal %q, error %v", id, response.StatusCode, len(data), response.Header.Get(names.Seal), err)
 	return answer{response.StatusCode, response.Header, data, err}
 }
--- a/review/rig-2/foreign.go
+++ b/review/rig-2/foreign.go
@@ -108,11 +108,11 @@
 	body, err := json.Marshal(map[string]any{
 		"address": of.addr, "born": time.Now().UnixMilli(),
 		"info":   map[string]any{"service": "nightly-report", "version": "v1", "zone": of.zone, "slots": 1},
-		"status": map[string]any{"state": "ready", "sequence": 1, "warmup_left": "0ms"},
+		"status": map[string]any{"state": "ready", "sequence": 1, names.WarmupLeft: "0ms"},
 	})
 	if err != nil {
 		return err
 	}
 	r.record.printf("a foreign heartbeat of %s names the address of %s", id, of.name())
-	return r.operate("/Instances.Heartbeat/"+id, body, beatPeriod)
+	return r.operate(names.Heartbeat+id, body, beatPeriod)
 }
--- a/review/rig-2/keyed.go
+++ b/review/rig-2/keyed.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -38,11 +39,11 @@
 		since := time.Since(shedStart)
 		sheds := r.trouble && !shedStart.IsZero() && since > 0 && since < shedFor && rand.Float64() < shedShare
 		if !sheds {
-			runs[q.Header.Get("Request-Id")]++
+			runs[q.Header.Get(names.RequestID)]++
 		}
 		mu.Unlock()
 		if sheds {
-			w.Header().Set("Not-Executed", "1")
+			w.Header().Set(names.NotRun, "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -160,6 +161,40 @@
 	return verdict{broken, fmt.Sprintf("served %.3f before the final fault and %.3f later than %s after it", servedBefore, servedAfter, recovery)}, nil
 }
 
+// playKeyedRoll stops the entries in order, one after the other, and starts them again. No rule speaks
+// of what it shows; it is not a case.
+func playKeyedRoll(r *rig) (verdict, error) {
+	const (
+		clients  = 8
+		pause    = 100 * time.Millisecond
+		deadline = 1500 * time.Millisecond
+		span     = 10 * time.Second
+		calm     = 10 * time.Second
+	)
+	if err := r.startAll(6, func(t *target, w http.ResponseWriter, q *http.Request) {
+		t.run(w, q, 20*time.Millisecond, http.StatusOK)
+	}); err != nil {
+		return verdict{}, err
+	}
+	before := r.loadWithKeys(clients, pause, deadline, span)
+	if r.trouble {
+		for _, p := range r.withRole("entry") {
+			r.signal(p, syscall.SIGTERM)
+			<-p.exited
+			if err := r.startProcess(p, false); err != nil {
+				return verdict{}, err
+			}
+			time.Sleep(time.Second)
+		}
+		if err := r.awaitReady(); err != nil {
+			return verdict{}, err
+		}
+	}
+	time.Sleep(calm)
+	after := r.loadWithKeys(clients, pause, deadline, span)
+	return verdict{text: fmt.Sprintf("served %.3f before the entries were restarted in turn, %.3f later than %s after it", before, after, calm)}, nil
+}
+
 // loadWithKeys sends requests for a time and returns the share that is served.
 func (r *rig) loadWithKeys(clients int, pause, deadline, span time.Duration) float64 {
 	var mu sync.Mutex
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -39,6 +39,9 @@
 	"keyed-denied":    playKeyedDenied,
 	"foreign-address": playForeignAddress,
 	"poison":          playPoison,
+	// The others are not cases; the report says what they showed.
+	"keyed-roll": playKeyedRoll,
+	"late-body":  playLateBody,
 }
 
 func main() {
--- a/review/rig-2/own503.go
+++ b/review/rig-2/own503.go
@@ -26,7 +26,7 @@
 	var greyStart time.Time
 	handle := func(t *target, w http.ResponseWriter, q *http.Request) {
 		mu.Lock()
-		ran[q.Header.Get("Request-Id")]++
+		ran[q.Header.Get(names.RequestID)]++
 		since := time.Since(greyStart)
 		isGrey := r.trouble && t == r.targets[0] && !greyStart.IsZero() && since > 0 && since < greyFor
 		mu.Unlock()
--- a/review/rig-2/target.go
+++ b/review/rig-2/target.go
@@ -77,9 +77,9 @@
 		body, _ := json.Marshal(map[string]any{
 			"address": t.addr, "born": born,
 			"info":   map[string]any{"service": t.service, "version": "v1", "zone": t.zone, "slots": targetSlots},
-			"status": map[string]any{"state": "ready", "sequence": sequence, "warmup_left": "0ms"},
+			"status": map[string]any{"state": "ready", "sequence": sequence, names.WarmupLeft: "0ms"},
 		})
-		t.rig.operate("/Instances.Heartbeat/"+id, body, beatPeriod)
+		t.rig.operate(names.Heartbeat+id, body, beatPeriod)
 		select {
 		case <-ctx.Done():
 		case <-time.After(beatPeriod):
@@ -90,12 +90,12 @@
 // ServeHTTP implements http.Handler.
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
-		w.Header().Set("Instance-Id", t.name())
+		w.Header().Set(names.Instance, t.name())
 		return
 	}
-	id := r.Header.Get("Request-Id")
-	w.Header().Set("Request-Id", id)
-	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != t.name() {
+	id := r.Header.Get(names.RequestID)
+	w.Header().Set(names.RequestID, id)
+	if expected := r.Header.Get(names.Expected); expected != "" && expected != t.name() {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -106,7 +106,7 @@
 	}
 	t.mu.Unlock()
 	if full {
-		w.Header().Set("Not-Executed", "1")
+		w.Header().Set(names.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -143,16 +143,16 @@
 	}()
 }
 
-// seal returns the Response-Seal of an answer.
+// seal returns the proof that an answer is this target's.
 func (t *target) seal(id string) string { return "seal." + t.name() + "." + id }
 
 // run reads the request, works on it and answers it.
 func (t *target) run(w http.ResponseWriter, r *http.Request, work time.Duration, status int) {
 	io.Copy(io.Discard, r.Body)
-	id := r.Header.Get("Request-Id")
+	id := r.Header.Get(names.RequestID)
 	t.rig.record.printf("%s runs %s", t.name(), id)
 	time.Sleep(work)
-	w.Header().Set("Response-Seal", t.seal(id))
+	w.Header().Set(names.Seal, t.seal(id))
 	w.Header().Set("Content-Type", "text/plain")
 	w.WriteHeader(status)
 	fmt.Fprintf(w, "%s of %s\n", id, t.name())
