link, fleet, ctrl: count messages and items by kind, and measure how late changes are

Whether departures are late because of processor time, of queues or of links could not be told: only the number of sent messages was known by kind.

Status and the log line traffic now have, by kind of message, messages and bytes in both directions, the time in queues and in handlers, the items of gossip by kind and the processor time of the process. Two histograms measure a change from its commit to its sending and from there to its use.

--- a/ctrl/ctrl.go
+++ b/ctrl/ctrl.go
@@ -114,6 +114,9 @@
 	// time of the last one, and pushedIndex the index of the state that it contained.
 	pushScheduled bool
 	lastPush      time.Time
+	// unpushedSince is when the first change was committed that was not pushed yet.
+	unpushedSince time.Time
+	pushDelay     prometheus.Histogram
 	pushedIndex   uint64
 	beacon        *wire.Beacon
 	// lastBeacon is the time of the last read that was issued for a beacon, or of the commit
@@ -192,6 +195,7 @@
 	c.options.Meter.GaugeFunc("rollouts_running", "Roll-outs of a version that are running.", func() float64 { return float64(c.runningCount.Load()) })
 	c.options.Meter.GaugeFunc("servers_held", "Backend servers whose announcement is held until their pool is configured.", func() float64 { return float64(c.held.len()) })
 	c.rolloutDecisions = c.options.Meter.CounterVec("rollout_decisions_total", "Changes of roll-outs that this process decided on as the leader.", "action")
+	c.pushDelay = c.options.Meter.Histogram("push_delay_seconds", "Time from the commit of a change until it was sent to the entries.", prometheus.ExponentialBuckets(0.005, 2, 10))
 	if err := c.open(); err != nil {
 		return nil, err
 	}
--- a/ctrl/watch.go
+++ b/ctrl/watch.go
@@ -147,6 +147,9 @@
 // schedulePush pushes new state to the watchers, or leaves that to a later tick if the last
 // push was a short time ago.
 func (c *Control) schedulePush(now time.Time) {
+	if c.unpushedSince.IsZero() {
+		c.unpushedSince = now
+	}
 	interval := min(pushInterval+time.Duration(len(c.watchers))*pushIntervalPerEntry, maxPushInterval)
 	c.pushScheduled = now.Sub(c.lastPush) < interval
 	if !c.pushScheduled {
@@ -160,6 +163,10 @@
 	now := c.options.Clock.Now()
 	index := c.Ledger().State().Index()
 	c.lastPush, c.pushedIndex = now, index
+	if !c.unpushedSince.IsZero() {
+		c.pushDelay.Observe(now.Sub(c.unpushedSince).Seconds())
+		c.unpushedSince = time.Time{}
+	}
 	for vm, w := range c.watchers {
 		if w.sentIndex < index && !w.brief && now.Sub(w.lastHeard) < pushTimeout && !w.receivesLargeDelta(now) {
 			c.sendDelta(vm, w)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/dottereldeal/dottereldeal/admin"
 	"github.com/dottereldeal/dottereldeal/cert"
@@ -75,6 +76,7 @@
 	relay     *relay.Dialer
 	// assembled is closed once all parts are set. Messages may arrive before.
 	assembled chan struct{}
+	transit   prometheus.Histogram
 	config    atomic.Pointer[proxy.Config]
 	proxy     *proxy.Handler
 
@@ -90,6 +92,8 @@
 func New(l Listeners, opts ...Option) *Entry {
 	e := &Entry{options: newOptions(opts...), listeners: l, assembled: make(chan struct{})}
 	e.entryCounter.started = e.options.Clock.Now()
+	e.transit = e.options.Meter.Histogram("state_transit_seconds", "Time from the sending of an update of the configuration until it was applied, by the clocks of both VMs.",
+		prometheus.ExponentialBuckets(0.002, 2, 12))
 	e.config.Store(proxy.NewConfig(state.State{}))
 	e.link = link.New(l.Links,
 		link.VM(e.options.VM), link.EventLog(e.options.EventLog), link.Identity(e.options.Identity),
@@ -154,7 +158,12 @@
 	}
 	switch body := m.GetBody().(type) {
 	case *wire.Envelope_Delta:
+		before := e.State().Index()
 		e.watcher.receive(from, body.Delta)
+		if sent := m.GetStamp(); sent != nil && e.State().Index() > before {
+			// Wall clocks differ, so this is a hint for operators only.
+			e.transit.Observe(time.Since(time.UnixMilli(sent.GetWallMillis())).Seconds())
+		}
 	case *wire.Envelope_Watch:
 		e.watcher.serve(from, body.Watch)
 	}
@@ -163,6 +172,9 @@
 // State returns the current configuration of this VM.
 func (e *Entry) State() state.State { return e.config.Load().State }
 
+// Gossip returns what this VM has sent to other entries, by kind of item.
+func (e *Entry) Gossip() map[fleet.Kind]fleet.ItemTraffic { return e.fleet.Traffic() }
+
 // TargetCount returns the number of backend servers that have announced themselves.
 func (e *Entry) TargetCount() int { return e.fleet.Directory().Len() }
 
--- a/entry/status.go
+++ b/entry/status.go
@@ -44,6 +44,8 @@
 	Neighbours []string       `json:"neighbours"`
 	Pools      []poolStatus   `json:"pools"`
 	Links      link.Stats     `json:"links"`
+	// Gossip is what this VM has sent to other entries, by kind of item.
+	Gossip map[fleet.Kind]fleet.ItemTraffic `json:"gossip"`
 	// CutOff is set while this VM reaches no backend servers by itself. Tunnels counts its
 	// connections through each other entry, Relayed those of others through this one.
 	CutOff  bool           `json:"cut-off"`
@@ -67,7 +69,7 @@
 		VM: e.options.VM, DataCentre: e.options.DataCentre, Serving: true,
 		Leases: len(e.leases.HeldNames()),
 		State:  e.State().Index(), InFlight: e.proxy.InFlight(),
-		Neighbours: e.fleet.Neighbours(), Links: e.link.Stats(), CutOff: e.relay.CutOff(),
+		Neighbours: e.fleet.Neighbours(), Links: e.link.Stats(), Gossip: e.fleet.Traffic(), CutOff: e.relay.CutOff(),
 	}
 	response.Tunnels, response.Relayed = e.relay.Relays()
 	if err := e.Ready(); err != nil {
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -71,7 +71,9 @@
 	lastTick   time.Time
 	// pending holds the items to be sent to each neighbour.
 	pending map[string][]Item
-	queued  effects
+	// sent counts the items that were sent, by kind.
+	sent   map[Kind]ItemTraffic
+	queued effects
 	// membersChanged is set if members joined or left since neighbours were chosen, at
 	// neighboursChosenAt.
 	membersChanged     bool
@@ -99,6 +101,7 @@
 		suspectedAt: make(map[string]time.Time),
 		neighbours:  make(map[string]*neighbour),
 		pending:     make(map[string][]Item),
+		sent:        make(map[Kind]ItemTraffic),
 		lastTick:    now,
 	}
 	c.put(self.item(), "", now)
@@ -132,10 +135,23 @@
 	}
 	out := c.queued
 	out.deferred = deferred
+	c.countSent(out.send)
 	c.queued = effects{}
 	return out
 }
 
+// countSent counts the items of messages.
+func (c *core) countSent(messages []outgoing) {
+	for _, o := range messages {
+		for _, item := range o.message.items {
+			t := c.sent[item.Key.Kind]
+			t.Items++
+			t.Bytes += uint64(len(item.Key.Name) + len(item.Body))
+			c.sent[item.Key.Kind] = t
+		}
+	}
+}
+
 // put stores an item and passes it on to all neighbours but the sender, if it is new.
 // It reports whether it was new.
 func (c *core) put(item Item, from string, now time.Time) bool {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,6 +20,7 @@
 package fleet
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -134,6 +135,20 @@
 	f.step(func(time.Time) { f.core.addSeed(vm) })
 }
 
+// ItemTraffic counts the items of one kind that were sent to other entries.
+type ItemTraffic struct {
+	Items uint64 `json:"items"`
+	// Bytes is the size of their names and bodies.
+	Bytes uint64 `json:"bytes"`
+}
+
+// Traffic returns what was sent to other entries, by kind of item.
+func (f *Fleet) Traffic() map[Kind]ItemTraffic {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.core.sent)
+}
+
 // Members returns the active members, sorted by name.
 func (f *Fleet) Members() []Member { return *f.members.Load() }
 
--- a/link/kinds_test.go
+++ b/link/kinds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -10,10 +11,14 @@
 
 func TestMessagesAreCountedByKind(t *testing.T) {
 	is := is.New(t)
-	var c kindCounter
-	c.add(&wire.Envelope{Body: &wire.Envelope_LeaseAsk{}})
-	c.add(&wire.Envelope{Body: &wire.Envelope_LeaseAsk{}})
-	c.add(&wire.Envelope{Body: &wire.Envelope_Gossip{}})
-	c.add(&wire.Envelope{})
-	is.Equal(c.counts(), map[string]uint64{"lease_ask": 2, "gossip": 1})
+	var c kindCounters
+	c.addSent(&wire.Envelope{Body: &wire.Envelope_LeaseAsk{}}, 10, 2*time.Millisecond)
+	c.addSent(&wire.Envelope{Body: &wire.Envelope_LeaseAsk{}}, 20, time.Millisecond)
+	c.addSent(&wire.Envelope{Body: &wire.Envelope_Gossip{}}, 5, 0)
+	c.addReceived(&wire.Envelope{Body: &wire.Envelope_Gossip{}}, 7, time.Millisecond)
+	c.addSent(&wire.Envelope{}, 5, 0)
+	is.Equal(c.stats(), map[string]KindStats{
+		"lease_ask": {Sent: 2, SentBytes: 30, Queued: 3 * time.Millisecond, LongestQueued: 2 * time.Millisecond},
+		"gossip":    {Sent: 1, SentBytes: 5, Received: 1, ReceivedBytes: 7, Handled: time.Millisecond},
+	})
 }
--- a/link/link.go
+++ b/link/link.go
@@ -77,8 +77,8 @@
 	ReceivedBytes    uint64 `json:"received-bytes"`
 	DroppedMessages  uint64 `json:"dropped-messages"`
 	Sessions         int    `json:"sessions"`
-	// SentByKind counts the sent messages by the type of their body.
-	SentByKind map[string]uint64 `json:"sent-by-kind"`
+	// Kinds holds counters by the type of the messages' body.
+	Kinds map[string]KindStats `json:"kinds"`
 }
 
 // New accepts connections on the listener until Stop is called.
--- a/link/peer.go
+++ b/link/peer.go
@@ -116,7 +116,7 @@
 				p.transport.dropped.Add(1)
 				continue
 			}
-			sent, replaced := p.send(q.message)
+			sent, replaced := p.send(q)
 			if sent {
 				backoff = minBackoff
 				continue
@@ -156,12 +156,12 @@
 // send writes one message to the peer's stream and reports whether it succeeded. If not,
 // replaced tells that the connection was closed or exchanged on purpose meanwhile, so that the
 // peer is not known to be unreachable.
-func (p *peer) send(e *wire.Envelope) (sent, replaced bool) {
+func (p *peer) send(q queuedMessage) (sent, replaced bool) {
 	stream, err := p.openStream()
 	if err != nil {
 		return false, false
 	}
-	if err := p.write(stream, p.transport.withStamp(e)); err != nil {
+	if err := p.write(stream, p.transport.withStamp(q.message), time.Since(q.enqueuedAt)); err != nil {
 		p.mu.Lock()
 		replaced = p.stream != stream
 		p.mu.Unlock()
@@ -173,7 +173,8 @@
 	return true, false
 }
 
-func (p *peer) write(stream *yamux.Stream, e *wire.Envelope) error {
+// write writes a message that waited in the queue.
+func (p *peer) write(stream *yamux.Stream, e *wire.Envelope, queued time.Duration) error {
 	data, err := encode(e)
 	if err != nil {
 		return err
@@ -183,7 +184,7 @@
 	p.transport.sentBytes.Add(uint64(n))
 	if err == nil {
 		p.transport.sentMessages.Add(1)
-		p.transport.sentByKind.add(e)
+		p.transport.kinds.addSent(e, n, queued)
 	}
 	return err
 }
@@ -210,7 +211,7 @@
 		return nil, err
 	}
 	hello := &wire.Hello{Vm: p.transport.options.VM, Version: wire.Version}
-	if err := p.write(stream, &wire.Envelope{Body: &wire.Envelope_Hello{Hello: hello}}); err != nil {
+	if err := p.write(stream, &wire.Envelope{Body: &wire.Envelope_Hello{Hello: hello}}, 0); err != nil {
 		p.dropSession()
 		return nil, err
 	}
--- a/link/transport.go
+++ b/link/transport.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"encoding/binary"
 	"io"
 	"net"
 	"net/netip"
@@ -13,7 +14,6 @@
 
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/yamux"
-	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/dottereldeal/dottereldeal/cert"
@@ -39,7 +39,7 @@
 	receivedMessages atomic.Uint64
 	receivedBytes    atomic.Uint64
 	dropped          atomic.Uint64
-	sentByKind       kindCounter
+	kinds            kindCounters
 }
 
 func newTransport(listener net.Listener, o Options) *transport {
@@ -153,7 +153,7 @@
 		ReceivedBytes:    t.receivedBytes.Load(),
 		DroppedMessages:  t.dropped.Load(),
 		Sessions:         sessions,
-		SentByKind:       t.sentByKind.counts(),
+		Kinds:            t.kinds.stats(),
 	}
 }
 
@@ -284,7 +284,7 @@
 		return
 	}
 	for {
-		e, err := readEnvelope(reader)
+		e, size, err := readEnvelope(reader)
 		if err != nil {
 			return
 		}
@@ -292,13 +292,15 @@
 		if s := e.GetStamp(); s != nil {
 			t.options.EventLog.Observe(event.Stamp{WallMillis: s.GetWallMillis(), Count: s.GetCount()})
 		}
+		started := time.Now()
 		t.options.Receive(from, e)
+		t.kinds.addReceived(e, size, time.Since(started))
 	}
 }
 
 // readHello reads the first message of a stream and verifies the peer's name.
 func (t *transport) readHello(reader *bufio.Reader, state *tls.ConnectionState, name string) (*wire.Hello, error) {
-	e, err := readEnvelope(reader)
+	e, _, err := readEnvelope(reader)
 	if err != nil {
 		return nil, err
 	}
@@ -318,13 +320,24 @@
 	return hello, nil
 }
 
-func readEnvelope(reader *bufio.Reader) (*wire.Envelope, error) {
+// readEnvelope reads a message, and returns it with its size without the length prefix.
+func readEnvelope(reader *bufio.Reader) (*wire.Envelope, int, error) {
+	size, err := binary.ReadUvarint(reader)
+	if err != nil {
+		return nil, 0, err
+	}
+	if size > maxMessageBytes {
+		return nil, 0, errors.Errorf("message of %d bytes exceeds the limit of %d bytes", size, maxMessageBytes)
+	}
+	data := make([]byte, size)
+	if _, err := io.ReadFull(reader, data); err != nil {
+		return nil, 0, err
+	}
 	e := &wire.Envelope{}
-	options := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
-	if err := options.UnmarshalFrom(reader, e); err != nil {
-		return nil, err
+	if err := proto.Unmarshal(data, e); err != nil {
+		return nil, 0, err
 	}
-	return e, nil
+	return e, int(size), nil
 }
 
 // countingReader counts the bytes read from a stream.
--- a/link/tunnel.go
+++ b/link/tunnel.go
@@ -31,7 +31,7 @@
 	}
 	tunnel := &openedTunnel{Stream: stream, remove: conn.add(stream)}
 	hello := &wire.Hello{Vm: t.options.VM, Version: wire.Version, Tunnel: addr}
-	if err := p.write(stream, &wire.Envelope{Body: &wire.Envelope_Hello{Hello: hello}}); err != nil {
+	if err := p.write(stream, &wire.Envelope{Body: &wire.Envelope_Hello{Hello: hello}}, 0); err != nil {
 		tunnel.Close()
 		return nil, err
 	}
--- a/prog/process.go
+++ b/prog/process.go
@@ -16,6 +16,7 @@
 	"github.com/dottereldeal/dottereldeal/clock"
 	"github.com/dottereldeal/dottereldeal/conf"
 	"github.com/dottereldeal/dottereldeal/event"
+	"github.com/dottereldeal/dottereldeal/fleet"
 	"github.com/dottereldeal/dottereldeal/link"
 	"github.com/dottereldeal/dottereldeal/logbuf"
 	"github.com/dottereldeal/dottereldeal/meter"
@@ -190,10 +191,28 @@
 // trafficPeriod is the time between two log lines on the messages that a process sent.
 const trafficPeriod = 10 * time.Second
 
-// logTraffic logs what a process has sent to other VMs since its start, by kind of message.
-func logTraffic(l *slog.Logger, s link.Stats) {
-	l.Info("traffic", "sent-messages", s.SentMessages, "sent-bytes", s.SentBytes, "received-messages", s.ReceivedMessages,
-		"dropped-messages", s.DroppedMessages, "sessions", s.Sessions, "sent-by-kind", s.SentByKind)
+// logTraffic logs what a process has sent to other VMs and received since its start, by kind of
+// message, and the processor time that it has used.
+func logTraffic(l *slog.Logger, program linked) {
+	s := program.Links().Stats()
+	attrs := []any{}
+	if member, ok := program.(interface {
+		Gossip() map[fleet.Kind]fleet.ItemTraffic
+	}); ok {
+		attrs = append(attrs, "gossip", member.Gossip())
+	}
+	l.Info("traffic", append(attrs, "processor", processorTime(), "sent-messages", s.SentMessages, "sent-bytes", s.SentBytes,
+		"received-messages", s.ReceivedMessages, "received-bytes", s.ReceivedBytes, "dropped-messages", s.DroppedMessages,
+		"sessions", s.Sessions, "kinds", s.Kinds)...)
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
 // linked is a process of a fleet with links to others.
@@ -214,7 +233,7 @@
 		p.clock.Every(certPeriod, func(time.Time) { reloadIdentity(p.identity, p.line) })
 	}
 	p.clock.Every(settingsPeriod, func(time.Time) { settings.look(p.logger) })
-	p.clock.Every(trafficPeriod, func(time.Time) { logTraffic(p.logger, program.Links().Stats()) })
+	p.clock.Every(trafficPeriod, func(time.Time) { logTraffic(p.logger, program) })
 	p.logger.Info("start", "settings-file", settings.set.FilePath())
 	err := program.Run(ctx)
 	p.clock.Stop()
