limit: accept late answers of holders, and ask again as their answers take

Cause: a token request was repeated after 150 ms, and the answer to the earlier one was dropped because its number was not the last. The low fed itself: it lasted as long as answers took longer than the time-out.

Any unanswered request's answer counts now, with the life of its tokens from its own sending as before. The time-out follows the time that answers take, doubles while none come, and is 150 ms at least; the holder is reported as failed when nearly all answers would have come.

--- a/limit/distributed.go
+++ b/limit/distributed.go
@@ -25,8 +25,6 @@
 	pendingInterval = 25 * time.Millisecond
 	// waitTimeout bounds how long a request waits for the holder of its shard.
 	waitTimeout = 5 * time.Second
-	// retransmitTimeout is the time after which an unanswered token request is repeated.
-	retransmitTimeout = 150 * time.Millisecond
 	// notHolderDelay is the wait before the next token request if the receiver of the
 	// last one does not hold the shard.
 	notHolderDelay = 50 * time.Millisecond
@@ -110,8 +108,11 @@
 	pending  []*pendingRequest
 	holder   string
 	seq      uint64
-	sentAt   time.Time // of the unanswered token request; zero if there is none
+	asks     asks
 	lastUsed time.Time
+	// notBefore is the earliest time of the next token request, after one to a VM that does not hold
+	// the shard.
+	notBefore time.Time
 	// lastAnswer is the time of the holder's last answer.
 	lastAnswer time.Time
 	// timedOutAt is when a request last waited in vain for the holder.
@@ -207,7 +208,7 @@
 	available := c.cache.Available(now)
 	needed := len(c.pending) + target - available
 	urgent := len(c.pending) > 0
-	if !c.sentAt.IsZero() && now.Sub(c.sentAt) < retransmitTimeout || needed <= 0 || !urgent && available > target/2 {
+	if now.Before(c.notBefore) || needed <= 0 || !urgent && available > target/2 {
 		return
 	}
 	holder, known := d.leases.Holder(ShardOf(workspace))
@@ -220,18 +221,22 @@
 	if holder != c.holder {
 		c.cache.DiscardExpired()
 		c.holder = holder
+		c.asks = asks{}
 	}
-	if !c.sentAt.IsZero() && holder != d.vm {
-		d.leases.ReportFailure(ShardOf(workspace)) // the previous request was not answered
+	if holder != d.vm && c.asks.failureDue(now) {
+		d.leases.ReportFailure(ShardOf(workspace))
+	}
+	if c.asks.pending(now) {
+		return
 	}
 	c.seq++
-	c.sentAt = now
+	c.asks.add(ask{seq: c.seq, holder: holder, sentAt: now})
 	request := &wire.TokenAsk{
 		Workspace: workspace, Seq: c.seq, Tokens: uint32(needed), Returned: uint32(c.cache.TakeExpired()),
 		MaxWaitMicros: uint64(MaxWait.Microseconds()),
 	}
 	if holder == d.vm {
-		d.applyAnswer(workspace, c, d.grant(request, now), now)
+		d.receiveAnswerLocked(d.vm, d.grant(request, now), now)
 		return
 	}
 	d.link.Send(holder, &wire.Envelope{Body: &wire.Envelope_TokenAsk{TokenAsk: request}})
@@ -253,25 +258,29 @@
 	return true
 }
 
-// receiveAnswer handles a holder's answer if it belongs to the last token request.
+// receiveAnswer handles a holder's answer.
 func (d *Distributed) receiveAnswer(from string, m *wire.TokenAnswer) {
-	now := d.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.receiveAnswerLocked(from, m, d.clock.Now())
+}
+
+// receiveAnswerLocked handles an answer if it belongs to an unanswered request, with the lock.
+func (d *Distributed) receiveAnswerLocked(from string, m *wire.TokenAnswer, now time.Time) {
 	c, ok := d.clients[m.GetWorkspace()]
-	if !ok || m.GetSeq() != c.seq || from != c.holder || c.sentAt.IsZero() {
+	if !ok {
 		return
 	}
-	d.applyAnswer(m.GetWorkspace(), c, m, now)
+	if request, ok := c.asks.answered(from, m.GetSeq(), now); ok && from == c.holder {
+		d.applyAnswer(m.GetWorkspace(), c, m, request.sentAt, now)
+	}
 }
 
 // applyAnswer adds granted tokens to the cache and gives them to pending requests.
-func (d *Distributed) applyAnswer(workspace string, c *client, m *wire.TokenAnswer, now time.Time) {
-	sent := c.sentAt
-	c.sentAt = time.Time{}
+func (d *Distributed) applyAnswer(workspace string, c *client, m *wire.TokenAnswer, sent, now time.Time) {
 	if m.GetNotHolder() {
 		d.leases.ReportFailure(ShardOf(workspace))
-		c.sentAt = now.Add(notHolderDelay - retransmitTimeout) // the next request follows after notHolderDelay
+		c.notBefore = now.Add(notHolderDelay)
 		return
 	}
 	c.lastAnswer = now
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -158,7 +158,8 @@
 			t.Fatalf("%d tokens granted of a burst of 10", answer.GetTokens())
 		}
 		c := s.client("w", time.Unix(100, 0))
-		c.holder, c.seq, c.sentAt = "e2", seq, time.Unix(100, 0)
+		c.holder, c.seq = "e2", seq
+		c.asks.add(ask{seq: seq, holder: "e2", sentAt: time.Unix(100, 0)})
 		s.receiveAnswer("e2", &wire.TokenAnswer{Workspace: "w", Seq: seq, Tokens: tokens, WaitMicros: wait, LifetimeMicros: lifetime})
 	})
 }
@@ -232,7 +233,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	is.Equal(len(links.sent), 1)
-	manual.Advance(retransmitTimeout + pendingInterval)
+	manual.Advance(minAskTimeout + pendingInterval)
 	is.Equal(len(links.sent), 2)
 	d.receiveAnswer("e2", &wire.TokenAnswer{Workspace: "east", Seq: links.sent[1].GetSeq(), Tokens: 1, LifetimeMicros: 100_000})
 	is.True((<-admitted).OK)
