entry, fleet, pool: derive from a change only what it concerns

Each change of the configuration made every entry list and sort all servers, routes and pools, compare the directory of servers with the one before and divide all pools into cells.

A state knows what changed since an earlier one. The routing table and the lists of pools that nothing concerns are shared; the directory changes the servers that did.

--- a/entry/watch.go
+++ b/entry/watch.go
@@ -13,7 +13,6 @@
 
 	"github.com/dottereldeal/dottereldeal/event"
 	"github.com/dottereldeal/dottereldeal/fleet"
-	"github.com/dottereldeal/dottereldeal/proxy"
 	"github.com/dottereldeal/dottereldeal/state"
 	"github.com/dottereldeal/dottereldeal/wire"
 )
@@ -308,8 +307,9 @@
 
 // apply replaces the configuration of this VM.
 func (w *configWatcher) apply(next state.State) {
-	config := proxy.NewConfig(next)
-	w.entry.fleet.SetRegistered(registeredTargets(next))
+	previous := w.entry.config.Load()
+	config := previous.WithState(next)
+	updateRegistered(w.entry.fleet, previous.State, next)
 	w.entry.config.Store(config)
 	w.entry.freshness.confirmState(next, w.entry.options.Clock.Now())
 	w.entry.proxy.ApplyConfig(config)
@@ -337,23 +337,54 @@
 	}
 }
 
+// updateRegistered passes the changes of the registered backend servers to the fleet.
+func updateRegistered(f *fleet.Fleet, previous, next state.State) {
+	refs, known := next.ChangedSince(previous.Index())
+	if !known || slices.ContainsFunc(refs, func(r state.Ref) bool { return r.Kind == state.KindPool }) {
+		f.SetRegistered(registeredTargets(next))
+		return
+	}
+	var changed []fleet.Target
+	var removed []string
+	for _, ref := range refs {
+		if ref.Kind != state.KindTarget {
+			continue
+		}
+		t, _ := state.Get[state.Target](next, ref.Name)
+		if registered, ok := registeredTarget(next, t); ok {
+			changed = append(changed, registered)
+		} else {
+			removed = append(removed, ref.Name)
+		}
+	}
+	f.UpdateRegistered(changed, removed)
+}
+
 // registeredTargets returns the backend servers that are registered with the control VMs for pools
 // that are configured. Anybody can announce a server for another pool, with any address.
 func registeredTargets(s state.State) []fleet.Target {
 	var list []fleet.Target
 	for _, t := range state.List[state.Target](s) {
-		settings, configured := state.Get[state.Pool](s, t.Pool)
-		if t.Phase == state.TargetGone || !configured {
-			continue
+		if registered, ok := registeredTarget(s, t); ok {
+			list = append(list, registered)
 		}
-		connections := t.Connections
-		if connections == 0 {
-			connections = settings.Connections
-		}
-		list = append(list, fleet.Target{
-			Name: t.Name, Pool: t.Pool, DataCentre: t.DataCentre, Addr: t.Addr, Slots: t.Slots,
-			Connections: connections, Phase: fleet.Phase(t.Phase), Boot: t.Boot, Count: t.Count, Version: t.Version,
-		})
 	}
 	return list
 }
+
+// registeredTarget returns a backend server as requests are sent to it. It reports false for one that
+// is gone or whose pool is not configured.
+func registeredTarget(s state.State, t state.Target) (fleet.Target, bool) {
+	settings, configured := state.Get[state.Pool](s, t.Pool)
+	if t.Phase == state.TargetGone || !configured {
+		return fleet.Target{}, false
+	}
+	connections := t.Connections
+	if connections == 0 {
+		connections = settings.Connections
+	}
+	return fleet.Target{
+		Name: t.Name, Pool: t.Pool, DataCentre: t.DataCentre, Addr: t.Addr, Slots: t.Slots,
+		Connections: connections, Phase: fleet.Phase(t.Phase), Boot: t.Boot, Count: t.Count, Version: t.Version,
+	}, true
+}
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -45,67 +45,141 @@
 func (d *Directory) without(name string) *Directory { return d.replace([]Target{{Name: name}}, nil) }
 
 // replace returns a copy of the directory in which one set of targets is replaced by
-// another. Its cost grows with the number of targets, not with its square.
+// another. Pools without any of them are shared.
 func (d *Directory) replace(old, added []Target) *Directory {
+	next := &Directory{pools: maps.Clone(d.pools)}
+	if next.pools == nil {
+		next.pools = make(map[string][]Target)
+	}
 	removed := make(map[string]bool, len(old)+len(added))
 	for _, t := range slices.Concat(old, added) {
 		removed[t.Name] = true
 	}
-	isRemoved := func(t Target) bool { return removed[t.Name] }
-	next := &Directory{pools: make(map[string][]Target, len(d.pools)+1)}
-	for pool, targets := range d.pools {
-		if slices.ContainsFunc(targets, isRemoved) {
-			targets = slices.DeleteFunc(slices.Clone(targets), isRemoved)
-		}
-		if len(targets) > 0 {
-			next.pools[pool] = targets
-		}
-	}
-	modified := make(map[string]bool)
+	arriving := make(map[string][]Target)
 	for _, t := range added {
-		if !modified[t.Pool] {
-			modified[t.Pool] = true
-			next.pools[t.Pool] = slices.Clone(next.pools[t.Pool])
+		arriving[t.Pool] = append(arriving[t.Pool], t)
+	}
+	for pool, targets := range d.pools {
+		if len(arriving[pool]) == 0 && !d.hasAny(pool, removed) {
+			continue
 		}
-		next.pools[t.Pool] = append(next.pools[t.Pool], t)
+		next.pools[pool] = slices.DeleteFunc(slices.Clone(targets), func(t Target) bool { return removed[t.Name] })
 	}
-	for pool := range modified {
-		slices.SortFunc(next.pools[pool], func(a, b Target) int { return strings.Compare(a.Name, b.Name) })
+	for pool, targets := range arriving {
+		merged := append(slices.Clip(next.pools[pool]), targets...)
+		slices.SortFunc(merged, func(a, b Target) int { return strings.Compare(a.Name, b.Name) })
+		next.pools[pool] = merged
 	}
+	maps.DeleteFunc(next.pools, func(_ string, targets []Target) bool { return len(targets) == 0 })
 	return next
 }
 
+// has reports whether a pool has a backend server of a name.
+func (d *Directory) has(pool, name string) bool {
+	_, found := d.Target(pool, name)
+	return found
+}
+
+// hasAny reports whether a pool has any of the named backend servers.
+func (d *Directory) hasAny(pool string, names map[string]bool) bool {
+	for name := range names {
+		if d.has(pool, name) {
+			return true
+		}
+	}
+	return false
+}
+
 // SetRegistered replaces the set of backend servers that are registered with the
 // control plane. A backend server that also announced itself to the entries counts
 // as registered.
 func (f *Fleet) SetRegistered(targets []Target) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if slices.Equal(targets, f.registered) {
+	next := make(map[string]bool, len(targets))
+	for _, t := range targets {
+		next[t.Name] = true
+	}
+	var removed []string
+	for name := range f.registered {
+		if !next[name] {
+			removed = append(removed, name)
+		}
+	}
+	f.updateRegistered(targets, removed)
+}
+
+// UpdateRegistered changes some of the backend servers that are registered with the control plane, and
+// removes others. Its cost grows with the pools that these are in.
+func (f *Fleet) UpdateRegistered(changed []Target, removed []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.updateRegistered(changed, removed)
+}
+
+// updateRegistered must be called with the lock.
+func (f *Fleet) updateRegistered(changed []Target, removed []string) {
+	var old, added []Target
+	for _, t := range changed {
+		if known, ok := f.registered[t.Name]; ok && known == t {
+			continue
+		} else if ok {
+			old = append(old, known)
+		}
+		added = append(added, t)
+	}
+	for _, name := range removed {
+		if known, ok := f.registered[name]; ok {
+			old = append(old, known)
+		}
+	}
+	if len(old)+len(added) == 0 {
 		return
 	}
+	if f.registered == nil {
+		f.registered = make(map[string]Target)
+	}
+	for _, t := range old {
+		delete(f.registered, t.Name)
+	}
+	for _, t := range added {
+		f.registered[t.Name] = t
+	}
 	before := f.directory.Load()
-	next := before.replace(f.registered, targets)
-	f.registered = targets
+	next := before.replace(old, added)
 	f.directory.Store(next)
-	f.recordDirectoryChanges(before, next)
+	f.recordDirectoryChanges(before, next, slices.Concat(old, added))
 }
 
-// recordDirectoryChanges records the differences between two directories in the
-// event log.
-func (f *Fleet) recordDirectoryChanges(before, after *Directory) {
-	for _, pool := range after.pools {
-		for _, t := range pool {
-			f.recordPhase(before, t)
+// recordDirectoryChanges records in the event log what has become of targets.
+func (f *Fleet) recordDirectoryChanges(before, after *Directory, targets []Target) {
+	recorded := make(map[string]bool, len(targets))
+	for _, t := range targets {
+		if recorded[t.Name] {
+			continue
 		}
-	}
-	for name, pool := range before.pools {
-		for _, t := range pool {
-			if _, present := after.Target(name, t.Name); !present {
-				f.options.EventLog.Record(event.TargetExpired, t.Name, "pool "+name)
+		recorded[t.Name] = true
+		for _, pool := range before.poolsOf(t.Name) {
+			if !after.has(pool, t.Name) {
+				f.options.EventLog.Record(event.TargetExpired, t.Name, "pool "+pool)
 			}
 		}
+		for _, pool := range after.poolsOf(t.Name) {
+			present, _ := after.Target(pool, t.Name)
+			f.recordPhase(before, present)
+		}
+	}
+}
+
+// poolsOf returns the pools that have a backend server of a name.
+func (d *Directory) poolsOf(name string) []string {
+	var pools []string
+	for pool := range d.pools {
+		if d.has(pool, name) {
+			pools = append(pools, pool)
+		}
 	}
+	return pools
 }
 
 // recordPhase records a new backend server or a change of its phase in the event log.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -23,6 +23,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,8 +51,8 @@
 	// flushScheduled is set while a call of flush is due.
 	flushScheduled bool
 
-	// registered are the backend servers registered with the control plane.
-	registered []Target
+	// registered are the backend servers registered with the control plane, by name.
+	registered map[string]Target
 
 	directory atomic.Pointer[Directory]
 	members   atomic.Pointer[[]Member]
@@ -284,7 +285,7 @@
 	if !ok {
 		return
 	}
-	known := slices.ContainsFunc(before, func(b Member) bool { return b.VM == m.VM })
+	_, known := slices.BinarySearchFunc(before, m.VM, func(b Member, vm string) int { return strings.Compare(b.VM, vm) })
 	if m.VM == f.options.Self.VM {
 		return
 	}
--- a/pick/roundrobin.go
+++ b/pick/roundrobin.go
@@ -121,8 +121,14 @@
 // Eligible returns the backend servers that may receive new requests.
 func Eligible(targets []fleet.Target, current state.State) []fleet.Target {
 	list := make([]fleet.Target, 0, len(targets))
+	out := make(map[string]bool)
 	for _, t := range targets {
-		if IsEligible(t, current) {
+		isOut, known := out[t.DataCentre]
+		if !known {
+			isOut = current.IsDataCentreOut(t.DataCentre)
+			out[t.DataCentre] = isOut
+		}
+		if t.Phase != fleet.Leaving && !isOut {
 			list = append(list, t)
 		}
 	}
--- a/pool/cell.go
+++ b/pool/cell.go
@@ -30,6 +30,28 @@
 	return t.Pool + state.CellSeparator + t.DataCentre + "." + strconv.FormatUint(number, 10)
 }
 
+// cellNames holds the names of the cells of a pool, so that they are not built for each server.
+type cellNames map[cellNumber]string
+
+type cellNumber struct {
+	dataCentre string
+	number     uint64
+}
+
+// of returns the cell of a server.
+func (c cellNames) of(t fleet.Target, d state.Division) string {
+	if d.CellsPerDataCentre == 0 {
+		return t.Pool
+	}
+	key := cellNumber{t.DataCentre, xxhash.Sum64String(t.Name) % uint64(d.CellsPerDataCentre)}
+	name, known := c[key]
+	if !known {
+		name = cellOf(t, d)
+		c[key] = name
+	}
+	return name
+}
+
 // LeaseName returns the name of the lease of a cell.
 func LeaseName(cell string) string { return leasePrefix + cell }
 
@@ -54,6 +76,28 @@
 	pools      sync.Map // name of a pool to *poolServers
 }
 
+// next returns the lists for another directory and state. Those of pools that these do not differ in
+// are kept: most changes concern a server of one pool.
+func (l *serverLists) next(directory *fleet.Directory, current state.State, leaving *leavingServers) *serverLists {
+	next := &serverLists{directory: directory, stateIndex: current.Index(), leaving: leaving}
+	if l == nil || l.leaving != leaving || l.stateIndex > current.Index() {
+		return next
+	}
+	changed, known := current.ChangedSince(l.stateIndex)
+	onlyTargets := !slices.ContainsFunc(changed, func(r state.Ref) bool { return r.Kind != state.KindTarget })
+	if !known || !onlyTargets {
+		return next
+	}
+	l.pools.Range(func(pool, list any) bool {
+		before, now := l.directory.Pool(pool.(string)), directory.Pool(pool.(string))
+		if len(before) == len(now) && (len(now) == 0 || &before[0] == &now[0]) {
+			next.pools.Store(pool, list)
+		}
+		return true
+	})
+	return next
+}
+
 // poolServers holds the eligible servers of one pool. The slices must not be modified.
 type poolServers struct {
 	cells map[string][]fleet.Target
@@ -75,7 +119,7 @@
 	directory, current, leaving := b.fleet.Directory(), b.options.State(), b.leaving.Load()
 	lists := b.serverLists.Load()
 	if lists == nil || lists.directory != directory || lists.stateIndex != current.Index() || lists.leaving != leaving {
-		lists = &serverLists{directory: directory, stateIndex: current.Index(), leaving: leaving}
+		lists = lists.next(directory, current, leaving)
 		b.serverLists.Store(lists)
 	}
 	if list, ok := lists.pools.Load(pool); ok {
@@ -100,8 +144,9 @@
 
 func newPoolServers(eligible []fleet.Target, d state.Division, dataCentre string) *poolServers {
 	p := &poolServers{cells: make(map[string][]fleet.Target)}
+	names := make(cellNames)
 	for _, t := range eligible {
-		cell := cellOf(t, d)
+		cell := names.of(t, d)
 		if p.cells[cell] == nil {
 			p.names = append(p.names, cell)
 		}
--- a/state/state.go
+++ b/state/state.go
@@ -171,6 +171,10 @@
 	return records, false
 }
 
+// ChangedSince returns the objects that were changed or removed after an index. It reports false if
+// that is not known, as for a state that was loaded as a whole.
+func (s State) ChangedSince(index uint64) ([]Ref, bool) { return s.journal.since(index) }
+
 // liveRecords returns all records except tombstones.
 func (s State) liveRecords() []Record {
 	all := s.Records()
