clock: run functions whose periods divide each other together

An entry has six functions with periods of 100 ms and some of 500 ms, each due at a moment of its own, so that an idle process was woken some 60 times a second. They are due at multiples of their periods since the start of the clock now.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -43,6 +43,7 @@
 // New returns the system clock.
 func New() Clock {
 	s := &system{
+		started: time.Now(),
 		changed: make(chan struct{}, 1),
 		quit:    make(chan struct{}),
 		done:    make(chan struct{}),
@@ -81,6 +82,7 @@
 
 // system is the Clock that follows the system clock.
 type system struct {
+	started  time.Time
 	mu       sync.Mutex
 	schedule schedule
 	changed  chan struct{}
@@ -95,9 +97,11 @@
 // String returns the name of the implementation.
 func (s *system) String() string { return "system" }
 
-// Every calls f once per period.
+// Every calls f once per period, at multiples of it since the start of the clock: functions whose
+// periods divide each other are due together, so that the process is woken once for all of them.
 func (s *system) Every(period time.Duration, f func(time.Time)) func() {
-	sub := &subscription{next: time.Now().Add(period), period: period, run: f}
+	since := time.Since(s.started)
+	sub := &subscription{next: s.started.Add(since - since%period + period), period: period, run: f}
 	s.mu.Lock()
 	heap.Push(&s.schedule, sub)
 	s.mu.Unlock()
@@ -175,7 +179,7 @@
 		}
 		sub.next = sub.next.Add(sub.period)
 		if sub.next.Before(now) {
-			sub.next = now.Add(sub.period)
+			sub.next = sub.next.Add((now.Sub(sub.next)/sub.period + 1) * sub.period)
 		}
 		heap.Fix(&s.schedule, 0)
 		return sub
--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -52,3 +52,21 @@
 		is.Equal(runs.Load(), int64(2))
 	})
 }
+
+// Guards against a process that is woken once for each of its periodic functions.
+func TestFunctionsWhosePeriodsDivideEachOtherAreDueTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := clock.New()
+		due := make(map[time.Time]int)
+		note := func(now time.Time) { due[now]++ }
+		c.Every(100*time.Millisecond, note)
+		time.Sleep(30 * time.Millisecond)
+		c.Every(100*time.Millisecond, note)
+		time.Sleep(5 * time.Millisecond)
+		c.Every(500*time.Millisecond, note)
+		time.Sleep(time.Second)
+		c.Stop()
+		is.Equal(len(due), 10)
+	})
+}
