sched: publish what is not urgent about a cell as its size allows

A cell's status names all its servers that are cold or have become warm and all requests that may crash servers, and is flooded whole.

Servers that become cold, leave or name a limit, and requests in quarantine, are published at once as before. The rest follows after a second for each KB, three at most. TestStatusThatIsNotUrgentIsPublishedAsItsSizeAllows failed before: 100 publications of 2 KB in ten seconds.

--- a/sched/holder.go
+++ b/sched/holder.go
@@ -107,9 +107,39 @@
 	}
 }
 
-// publishInterval is the shortest time between two publications of changed rates of limits,
-// or, if entries do not choose by themselves, of changed ejections alone.
-const publishInterval = 3 * time.Second
+const (
+	// publishInterval is the shortest time between two publications of changed rates of limits,
+	// or, if entries do not choose by themselves, of changed ejections alone.
+	publishInterval = 3 * time.Second
+	// rampInterval is the shortest time between two publications of servers that have become warm, if
+	// entries do not choose by themselves.
+	rampInterval = time.Second
+	// publishedBytesPerSecond bounds what a cell publishes without urgency. Each entry receives a status
+	// from several neighbours, and those of all cells.
+	publishedBytesPerSecond = 1000
+	// nameBytes and suspectBytes are the usual sizes of what a status names.
+	nameBytes    = 20
+	suspectBytes = 50
+)
+
+// interval returns the shortest time between this status and the next one that is not urgent, given
+// that of what has changed.
+func (s Status) interval(changed time.Duration) time.Duration {
+	names := len(s.Ejected) + len(s.Cold) + len(s.Warmed) + len(s.Limits) + len(s.Leaving) + len(s.Cleared)
+	bytes := nameBytes*names + suspectBytes*len(s.Suspects)
+	return min(max(changed, time.Duration(bytes)*time.Second/publishedBytesPerSecond), publishInterval)
+}
+
+// hasBecomeCold reports whether there is a cold server that another status did not name.
+func (s Status) hasBecomeCold(before Status) bool {
+	return slices.ContainsFunc(s.Cold, func(name string) bool { return !slices.Contains(before.Cold, name) })
+}
+
+// withRamps returns a copy of the status with the cold and the warmed servers of another one.
+func (s Status) withRamps(other Status) Status {
+	s.Cold, s.Warmed = other.Cold, other.Warmed
+	return s
+}
 
 // PublishDue reports whether to gossip the status of the cell, and if so takes it as
 // published. Every entry must know at once which servers are cold or name a limit. Ejections
@@ -126,13 +156,19 @@
 		urgent = urgent.withLimits(h.published.Limits)
 	}
 	interval := publishInterval
+	if !localChoices && !next.hasBecomeCold(h.published) {
+		if !slices.Equal(next.Cold, h.published.Cold) || !maps.Equal(next.Warmed, h.published.Warmed) {
+			interval = rampInterval
+		}
+		urgent = urgent.withRamps(h.published)
+	}
 	if sameSuspects(inQuarantine(next.Suspects), inQuarantine(h.published.Suspects)) {
 		if !sameSuspects(next.Suspects, h.published.Suspects) {
 			interval = suspectsInterval
 		}
 		urgent = urgent.withSuspects(h.published.Suspects)
 	}
-	if urgent.equal(h.published) && now.Sub(h.publishedAt) < interval {
+	if urgent.equal(h.published) && now.Sub(h.publishedAt) < next.interval(interval) {
 		return false
 	}
 	h.published, h.publishedAt = next, now
--- a/sched/overflow_test.go
+++ b/sched/overflow_test.go
@@ -187,3 +187,28 @@
 	is.True(h.PublishDue(Status{Cold: []string{"a", "c"}}, false, startTime.Add(time.Second+publishInterval)))
 	is.True(h.PublishDue(Status{Ejected: []string{"b"}}, true, startTime))
 }
+
+// Guards against cells that flood the fleet with their whole status for each server that has become
+// warm, or for each request that may crash servers: the links of entries are scarce (SHORT).
+func TestStatusThatIsNotUrgentIsPublishedAsItsSizeAllows(t *testing.T) {
+	is := is.New(t)
+	h := New(Since(startTime))
+	cold := make([]string, 100)
+	for i := range cold {
+		cold[i] = fmt.Sprintf("s%03d", i)
+	}
+	now, published := startTime, 0
+	is.True(h.PublishDue(Status{Cold: cold}, false, now))
+	for i := range cold {
+		now = now.Add(100 * time.Millisecond)
+		warmed := make(map[string]uint64)
+		for _, name := range cold[:i+1] {
+			warmed[name] = 1
+		}
+		if h.PublishDue(Status{Cold: cold[i+1:], Warmed: warmed}, false, now) {
+			published++
+		}
+	}
+	is.True(published >= 3 && published <= 6)                                               // 2 KB each, in ten seconds
+	is.True(h.PublishDue(Status{Cold: []string{"s000"}}, false, now.Add(time.Millisecond))) // a server that is cold again
+}
