pool: wait for a holder as long as its answers take

An entry waited 150 ms for the answer of a cell's holder, then chose a server by itself, and gave the slot back when it came.

The time follows the answers, late ones included, from 150 to 400 ms; lease.AnswerTime serves limit too. A holder that does not answer at all is given up after 150 ms as before. TestHolderBehindASlowLinkPlacesRequests (110 ms each way) failed before.

--- a/limit/asks.go
+++ b/limit/asks.go
@@ -1,6 +1,10 @@
 package limit
 
-import "time"
+import (
+	"time"
+
+	"github.com/dottereldeal/dottereldeal/lease"
+)
 
 const (
 	// minAskTimeout and maxAskTimeout bound the time after which an unanswered token request is
@@ -24,9 +28,8 @@
 // entry drop the answer to the earlier one, no answer would ever be accepted while they take longer
 // than the time-out, and the repeats would add to what fills the link.
 type asks struct {
-	open []ask
-	// mean and deviation are moving averages of the time until an answer.
-	mean, deviation time.Duration
+	open    []ask
+	answers lease.AnswerTime
 	// reportedAt is when the holder was last reported as failed.
 	reportedAt time.Time
 }
@@ -39,7 +42,7 @@
 
 // usual returns the time within which nearly all answers come.
 func (a *asks) usual() time.Duration {
-	return min(max(a.mean+4*a.deviation, minAskTimeout), maxAskTimeout)
+	return a.answers.Usual(minAskTimeout, maxAskTimeout)
 }
 
 // failureDue reports whether to report the holder as failed: the oldest request should have been
@@ -72,19 +75,9 @@
 		if one.seq != seq || one.holder != holder {
 			continue
 		}
-		a.learn(now.Sub(one.sentAt))
+		a.answers.Learn(now.Sub(one.sentAt))
 		a.open = append(a.open[:0], a.open[i+1:]...)
 		return one, true
 	}
 	return ask{}, false
 }
-
-// learn updates the averages with the time until an answer.
-func (a *asks) learn(took time.Duration) {
-	if a.mean == 0 {
-		a.mean, a.deviation = took, took/2
-		return
-	}
-	a.deviation += ((took - a.mean).Abs() - a.deviation) / 4
-	a.mean += (took - a.mean) / 8
-}
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/dottereldeal/dottereldeal/fleet"
@@ -12,9 +13,14 @@
 )
 
 const (
-	// holderTimeout is how long an entry waits for the first answer of a pool's holder
-	// before it chooses locally. It covers a round trip between regions.
-	holderTimeout = 150 * time.Millisecond
+	// holderTimeout is how long an entry waits at least for the first answer of a pool's holder
+	// before it chooses locally. It covers a round trip between regions. maxHolderTimeout is how long
+	// it waits for one whose answers take that long.
+	holderTimeout    = 150 * time.Millisecond
+	maxHolderTimeout = 400 * time.Millisecond
+	// maxLate bounds the slot requests whose late answers are awaited, and lateTTL how long.
+	maxLate = 256
+	lateTTL = 2 * time.Second
 	// defaultTimeout applies to requests that have neither a timeout nor a deadline.
 	defaultTimeout = time.Hour
 )
@@ -68,6 +74,7 @@
 	answers chan slotAnswer
 	// cell and holder are those that were asked, or sent the last answer.
 	cell, holder string
+	sentAt       time.Time
 }
 
 // requestSlot asks the holder of a cell for a backend server. It reports false if this VM
@@ -83,7 +90,7 @@
 	b.mu.Lock()
 	b.lastID++
 	m := b.slotRequest(ctx, cell, b.lastID, r)
-	waiting := &pendingRequest{answers: make(chan slotAnswer, maxSlotAnswers), cell: cell, holder: holder}
+	waiting := &pendingRequest{answers: make(chan slotAnswer, maxSlotAnswers), cell: cell, holder: holder, sentAt: b.options.Clock.Now()}
 	b.pending[m.GetId()] = waiting
 	b.mu.Unlock()
 	defer b.removePending(m.GetId())
@@ -140,12 +147,17 @@
 // locally, if the holder does not answer in time, or is lost while the request is in its
 // queue.
 func (b *Balancer) awaitSlot(ctx context.Context, m *wire.SlotAsk, w *pendingRequest, r pick.Request) (pick.Choice, error, bool) {
-	timer := time.NewTimer(holderTimeout)
+	asked := w.cell
+	timer := time.NewTimer(b.answerTimeout(asked))
 	defer timer.Stop()
-	queued := false
+	answered, queued := false, false
 	for {
 		select {
 		case answer := <-w.answers:
+			if !answered {
+				answered = true
+				b.learnAnswer(asked, w.sentAt)
+			}
 			w.cell, w.holder = answer.GetPool(), answer.from
 			if answer.GetNotHolder() {
 				b.leases.ReportFailure(LeaseName(w.cell))
@@ -173,6 +185,7 @@
 			}
 			if !queued {
 				b.leases.ReportFailure(LeaseName(w.cell))
+				b.expectLate(m.GetId(), asked, w.sentAt)
 			}
 			b.releaseSlot(w.cell, w.holder, m.GetId(), health.Result{})
 			return pick.Choice{}, nil, false
@@ -189,6 +202,39 @@
 	return known && holder == vm && !b.leases.RecentlyFailed(LeaseName(cell))
 }
 
+// lateRequest is a slot request that was not answered in time.
+type lateRequest struct {
+	cell   string
+	sentAt time.Time
+}
+
+// answerTimeout returns how long to wait for the first answer of the holder of a cell.
+func (b *Balancer) answerTimeout(cell string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.cellState(cell).answers.Usual(holderTimeout, maxHolderTimeout)
+}
+
+// learnAnswer notes that the holder of a cell has answered a request.
+func (b *Balancer) learnAnswer(cell string, sentAt time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cellState(cell).answers.Learn(b.options.Clock.Now().Sub(sentAt))
+}
+
+// expectLate notes a request whose answer may still come, which shows how long the holder takes.
+func (b *Balancer) expectLate(id uint64, cell string, sentAt time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.late) >= maxLate {
+		now := b.options.Clock.Now()
+		maps.DeleteFunc(b.late, func(_ uint64, r lateRequest) bool { return now.Sub(r.sentAt) > lateTTL })
+	}
+	if len(b.late) < maxLate {
+		b.late[id] = lateRequest{cell, sentAt}
+	}
+}
+
 // acceptSlot uses the backend server that the holder has assigned. If this VM does not
 // know the server yet, or knows that it must not be used, the slot is released.
 func (b *Balancer) acceptSlot(cell, holder string, id uint64, name, label string) (pick.Choice, bool) {
@@ -261,6 +307,10 @@
 func (b *Balancer) receiveSlotAnswer(from string, m *wire.SlotAnswer) {
 	b.mu.Lock()
 	w, ok := b.pending[m.GetId()]
+	if late, ok := b.late[m.GetId()]; ok {
+		delete(b.late, m.GetId())
+		b.cellState(late.cell).answers.Learn(b.options.Clock.Now().Sub(late.sentAt))
+	}
 	b.mu.Unlock()
 	if ok {
 		select {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -61,6 +61,8 @@
 	lastID     uint64
 	// pending holds the slot requests that wait for the answer of a holder, by ID.
 	pending map[uint64]*pendingRequest
+	// late holds the requests that were not answered in time, by ID.
+	late map[uint64]lateRequest
 	// guard knows the requests that may crash servers.
 	guard     *guard.Table
 	decisions decisionCounter
@@ -75,7 +77,9 @@
 	servers    map[string]*serverStats
 	latency    latencyStats
 	lastReport time.Time
-	permits    permits
+	// answers is how long the holder takes.
+	answers lease.AnswerTime
+	permits permits
 	// torn and cleared are the evidence for the next report to the holder.
 	torn    []*wire.TornRequest
 	cleared []guard.Print
@@ -86,6 +90,7 @@
 	b := &Balancer{
 		options: newOptions(opts...), link: l, fleet: f, leases: leases,
 		cellStates: make(map[string]*cellState), holders: make(map[string]*sched.Holder), pending: make(map[uint64]*pendingRequest),
+		late:  make(map[uint64]lateRequest),
 		guard: guard.New(), lastID: link.FirstNumber(), counters: make(map[string]*cellCounter),
 	}
 	b.decisions = newDecisionCounter(b.options.Meter)
