proxy: look again whether the server stays when a request leaves

The choice carries a check, called on whatever way the connection leads as the first byte is written. Nothing of the request leaves the VM if it fails; the attempt counts neither against the server nor as a retry, and the request is sent elsewhere. TestServerThatLeavesBeforeARequestIsSentGetsNoByteOfIt failed before (check not called).

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -39,6 +39,9 @@
 // Unwrap returns ErrNoServer.
 func (e *QuarantineError) Unwrap() error { return ErrNoServer }
 
+// ErrDeparted means that a backend server has left since it was chosen.
+var ErrDeparted = errors.New("the backend server has left since it was chosen")
+
 // Request holds the properties of a request that a choice depends on.
 type Request struct {
 	// Avoid names the backend servers that earlier attempts used.
@@ -81,6 +84,9 @@
 	// RetryCounted is set if this attempt has been charged to the retry budget of the whole
 	// fleet. Otherwise a retry draws on the budget of this VM.
 	RetryCounted bool
+	// Check returns an error once the server must not be sent the request any more, as when it leaves. It
+	// is called when the first byte is about to be sent, and may be nil.
+	Check func() error
 }
 
 // Picker chooses backend servers.
--- a/pool/leaving.go
+++ b/pool/leaving.go
@@ -5,6 +5,7 @@
 
 	"github.com/dottereldeal/dottereldeal/event"
 	"github.com/dottereldeal/dottereldeal/fleet"
+	"github.com/dottereldeal/dottereldeal/pick"
 )
 
 // leavingServers holds the servers that have said in answers that they leave, with the boot in
@@ -53,6 +54,16 @@
 	}
 }
 
+// checkStays returns an error once a server that was chosen must not be sent a request any more. The
+// request may have waited since for a connection, for its body or for its turn on the link.
+func (b *Balancer) checkStays(t fleet.Target) error {
+	present, known := b.fleet.Directory().Target(t.Pool, t.Name)
+	if !known || present.Addr != t.Addr || !pick.IsEligible(present, b.options.State()) || b.leaving.Load().has(present) {
+		return pick.ErrDeparted
+	}
+	return nil
+}
+
 // maxLeaving bounds the servers that are remembered although they are no longer registered.
 const maxLeaving = 1024
 
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -197,7 +197,7 @@
 	b.lastID++
 	id := b.lastID
 	cs.server(t.Name).inFlight[id] = now
-	return pick.Choice{Target: t, Done: func(r health.Result) {
+	return pick.Choice{Target: t, Check: func() error { return b.checkStays(t) }, Done: func(r health.Result) {
 		if r.Leaving {
 			b.markLeaving(t.Pool, t.Name, t.Boot)
 		}
--- a/pool/placement.go
+++ b/pool/placement.go
@@ -247,7 +247,7 @@
 		b.releaseSlot(cell, holder, id, health.Result{Pause: left})
 		return pick.Choice{}, false
 	}
-	return pick.Choice{Target: t, RetryCounted: true, Done: func(r health.Result) {
+	return pick.Choice{Target: t, RetryCounted: true, Check: func() error { return b.checkStays(t) }, Done: func(r health.Result) {
 		if r.Leaving {
 			b.markLeaving(t.Pool, t.Name, t.Boot)
 			r.LeavingBoot = t.Boot
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -234,7 +234,7 @@
 	if a.conn != nil && a.conn.bytesWritten() != a.connOffset {
 		a.sentOnEarlierConn = true
 	}
-	conn.begin(a.exchange.request.Method)
+	conn.begin(a.exchange.request.Method, a.choice.Check)
 	a.conn, a.connOffset = conn, conn.bytesWritten()
 }
 
@@ -245,6 +245,11 @@
 	if a.conn != nil && a.conn.abort() != a.connOffset || a.sentOnEarlierConn {
 		f.kind, f.outcome, f.reachedBackend = health.Torn, Unknown, true
 	}
+	if a.conn != nil && f.outcome == NotRun {
+		if refusal := a.conn.refused(); refusal != nil {
+			f.kind, f.cause = health.Cancelled, refusal
+		}
+	}
 	f.applyContextCause(ctx)
 	a.detail = f.cause.Error()
 	a.report(f.kind, latency)
--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -26,6 +26,9 @@
 	mu      sync.Mutex
 	written uint64
 	aborted bool
+	// check is called before the first byte of a request is written, and refusal is its error.
+	check   func() error
+	refusal error
 
 	// scanMu is taken after mu.
 	scanMu    sync.Mutex
@@ -40,8 +43,12 @@
 }
 
 // begin expects the answer to a request that is about to be written. If the connection is not
-// where a new answer can begin, it is closed, and no byte of the request leaves this VM.
-func (c *countingConn) begin(method string) {
+// where a new answer can begin, or check returns an error, it is closed, and no byte of the request
+// leaves this VM.
+func (c *countingConn) begin(method string, check func() error) {
+	c.mu.Lock()
+	c.check = check
+	c.mu.Unlock()
 	c.scanMu.Lock()
 	err := c.scanner.Begin(method)
 	c.scanMu.Unlock()
@@ -85,7 +92,7 @@
 // Write implements net.Conn.
 func (c *countingConn) Write(p []byte) (int, error) {
 	n, err := c.write(p)
-	if err != nil {
+	if err != nil && c.refused() == nil {
 		c.awaitAnswer()
 	}
 	return n, err
@@ -97,11 +104,25 @@
 	if c.aborted {
 		return 0, errConnAborted
 	}
+	if c.check != nil {
+		c.refusal = c.check()
+		c.check = nil
+	}
+	if c.refusal != nil {
+		return 0, c.refusal
+	}
 	n, err := c.Conn.Write(p)
 	c.written += uint64(n)
 	return n, err
 }
 
+// refused returns why the request was not to be sent any more, or nil.
+func (c *countingConn) refused() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refusal
+}
+
 // awaitAnswer waits, for a limited time, until the answer has been read or cannot be.
 func (c *countingConn) awaitAnswer() {
 	timer := time.NewTimer(answerWait)
