ctrl: choose the first lease voters while servers register

A fleet of 440 had no holder of any rate or cell until 10 s after its start: 'no VM is known to hold w57' refused 579 requests in the first two seconds of traffic. The first voters wait until entries have run for 1.2 s with a state without voters, which counted from the last change; hundreds of registering servers change the state all the time. It counts from the first change now.

TestFirstVotersAreChosenWhileServersRegister failed before.

--- a/ctrl/ctrl.go
+++ b/ctrl/ctrl.go
@@ -156,7 +156,9 @@
 	majorityIndex uint64
 	majorityMarks []majorityMark
 	// lastChange is the time at which this replica last applied a ticket.
-	lastChange     time.Time
+	lastChange time.Time
+	// firstChange is the time at which it first did.
+	firstChange    time.Time
 	lastVoterCheck time.Time
 	appliedIndex   uint64
 	snapshotIndex  uint64
--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -193,7 +194,7 @@
 	next, outcome := before.Apply(entry.Index, p)
 	c.ledger.Store(&next)
 	c.setFirstIndex(next)
-	c.lastChange = c.options.Clock.Now()
+	c.noteChange(c.options.Clock.Now())
 	c.recordOutcome(before, next, p, outcome)
 	if p.Ticket.Number != ledger.SystemNumber || p.Ticket.Plan != nil {
 		c.releaseHeld()
@@ -210,6 +211,14 @@
 	return nil
 }
 
+// noteChange notes when a ticket was applied.
+func (c *Control) noteChange(now time.Time) {
+	c.lastChange = now
+	if c.firstChange.IsZero() {
+		c.firstChange = now
+	}
+}
+
 // recordOutcome logs the outcome of a ticket.
 func (c *Control) recordOutcome(before, next ledger.Ledger, p ledger.Proposal, o ledger.Outcome) {
 	object := fmt.Sprintf("ticket %d", o.TicketNumber)
--- a/ctrl/voters.go
+++ b/ctrl/voters.go
@@ -20,7 +20,8 @@
 	// it selects voters.
 	voterSelectionDelay = 3 * time.Second
 	// firstVotersDelay is how long entries run with a state without voters, so that
-	// the first voters know that they have never voted before.
+	// the first voters know that they have never voted before. It counts from the first state:
+	// while many servers register, the state changes all the time.
 	firstVotersDelay = 1200 * time.Millisecond
 	// voterTimeout is the silence after which a voter that the leader selected is
 	// replaced.
@@ -37,7 +38,7 @@
 	}
 	c.lastVoterCheck = now
 	current := c.Ledger().State()
-	if len(current.ActiveVoters()) == 0 && now.Sub(c.lastChange) < firstVotersDelay {
+	if !c.firstVotersDue(current, now) {
 		return
 	}
 	next := nextActiveVoters(current.ActiveVoters(), c.wantedVoters(current, now))
@@ -51,6 +52,12 @@
 	c.proposeSystemChange(ticket.Ticket{Number: ledger.SystemNumber, Set: []state.Object{state.ActiveVoters{VMs: next}}})
 }
 
+// firstVotersDue reports whether the voters may be chosen: there are some, or entries have run without
+// any for long enough.
+func (c *Control) firstVotersDue(current state.State, now time.Time) bool {
+	return len(current.ActiveVoters()) > 0 || now.Sub(c.firstChange) >= firstVotersDelay
+}
+
 // proposeSystemChange proposes a change of the leader itself.
 func (c *Control) proposeSystemChange(change ticket.Ticket) {
 	data, err := ledger.EncodeProposal(ledger.Proposal{Ticket: change, Author: systemAuthor})
