ctrl: acknowledge what restricts requests once entries hold it

A departure was acknowledged when a majority of control had stored it.

The leader waits, 0.7 s at most from the arrival of the call, until every entry that reports to it holds the change. This holds for servers and data centres that get no more requests and for configurations; tickets wait until they are in force anyway. An entry that is cut off or stands still does not report and is not waited for, and callers try another VM after a second, so that nothing waits for good.

TestDepartureIsAcknowledgedOnceEntriesHaveHeardOfIt failed before (acknowledged at once).

--- a/ctrl/ctrl.go
+++ b/ctrl/ctrl.go
@@ -86,6 +86,8 @@
 	held        heldTargets
 	// foundersMissing is the number of founders that the first group waits for.
 	foundersMissing atomic.Int64
+	// deliveredIndex is the index up to which every entry that reports to this replica holds the state.
+	deliveredIndex atomic.Uint64
 	// runningCount is the number of roll-outs that are running.
 	runningCount     atomic.Int64
 	rolloutDecisions *prometheus.CounterVec
--- a/ctrl/propose.go
+++ b/ctrl/propose.go
@@ -49,6 +49,7 @@
 // applied yet.
 func (c *Control) proposeLocally(ctx context.Context, ask *wire.ProposalAsk) (ledger.Outcome, error) {
 	answer := make(chan ledger.Outcome, 1)
+	received := c.options.Clock.Now()
 	var proposeErr error
 	for {
 		if err := c.do(ctx, func() { proposeErr = c.propose(ask, answer) }); err != nil {
@@ -66,6 +67,11 @@
 		if !ok {
 			return ledger.Outcome{}, errors.Wrap(ErrNotLeader, "proposal dropped before it was applied")
 		}
+		if outcome.Verdict == ledger.Accepted && !outcome.Repeated {
+			if p, err := ledger.DecodeProposal(ask.GetData()); err == nil && restricts(p) {
+				c.awaitDelivery(ctx, outcome.Index, received.Add(deliveryTimeout))
+			}
+		}
 		return outcome, nil
 	case <-ctx.Done():
 		return ledger.Outcome{}, ErrOutcomeUnknown
--- a/ctrl/watch.go
+++ b/ctrl/watch.go
@@ -306,6 +306,7 @@
 	if c.pushScheduled {
 		c.schedulePush(now)
 	}
+	c.noteDelivered(now)
 	c.presentEntries = 0
 	for vm, w := range c.watchers {
 		if now.Sub(w.lastHeard) > watcherTimeout {
