fleet: bound what entries exchange because checksums differ

Neighbours change all the time then, each new one compares checksums, and all buckets differ as long as what the last comparison sent is on its way. Heartbeats waited up to 2 s behind it, 2,400 live members were declared dead, and that was gossiped too.

An entry sends 500 items a second because checksums differ, 2,000 at once after a pause; the rest is left to the next comparison. TestComparisonsDuringAStartAreBounded failed before (44,000 items in a second).

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -28,6 +28,10 @@
 	// by with each member. New neighbours exchange all items that one of them lacks, which is
 	// most of them while the fleet starts.
 	choiceIntervalPerMember = time.Millisecond
+	// exchangeRate is the number of items per second that an entry sends because checksums differ, and
+	// exchangeBurst how many it sends at once after a pause.
+	exchangeRate  = 500
+	exchangeBurst = 2000
 	// seedRetryTicks is the number of ticks after which an entry without neighbours
 	// contacts its seeds again.
 	seedRetryTicks = 2
@@ -74,6 +78,9 @@
 	// sent counts the items that were sent, by kind.
 	sent   map[Kind]ItemTraffic
 	queued effects
+	// exchangeBudget is the number of items that may be sent because checksums differ, as of budgetAt.
+	exchangeBudget float64
+	budgetAt       time.Time
 	// membersChanged is set if members joined or left since neighbours were chosen, at
 	// neighboursChosenAt.
 	membersChanged     bool
@@ -103,6 +110,9 @@
 		pending:     make(map[string][]Item),
 		sent:        make(map[Kind]ItemTraffic),
 		lastTick:    now,
+
+		exchangeBudget: exchangeBurst,
+		budgetAt:       now,
 	}
 	c.put(self.item(), "", now)
 	return c
@@ -213,8 +223,22 @@
 		c.reply(from, gossip{items: c.store.itemsInBuckets(g.want), index: c.stateIndex})
 	}
 	if differing := c.store.differingBuckets(g.checksums); len(differing) > 0 {
-		c.reply(from, gossip{items: c.store.itemsInBuckets(differing), index: c.stateIndex, want: differing})
+		c.exchange(from, differing, now)
+	}
+}
+
+// exchange answers checksums that differ with the items of these buckets, and requests the sender's. While
+// hundreds of entries start, nearly all buckets differ all the time and what would be sent is on its way
+// already; exchanges above exchangeRate are left to the next comparison.
+func (c *core) exchange(with string, differing []uint32, now time.Time) {
+	c.exchangeBudget = min(c.exchangeBudget+exchangeRate*now.Sub(c.budgetAt).Seconds(), exchangeBurst)
+	c.budgetAt = now
+	if c.exchangeBudget <= 0 {
+		return
 	}
+	items := c.store.itemsInBuckets(differing)
+	c.exchangeBudget -= float64(len(items))
+	c.reply(with, gossip{items: items, index: c.stateIndex, want: differing})
 }
 
 func (c *core) reply(to string, g gossip) {
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -261,3 +261,30 @@
 	is.True(out.deferred)
 	is.Equal(len(c.effects(cl.now.Add(flushInterval)).send), 2*floodRings)
 }
+
+// Guards against a start of hundreds of entries in which each comparison of checksums sends all members
+// once more, as long as the last time is still on its way (SHORT after a power loss).
+func TestComparisonsDuringAStartAreBounded(t *testing.T) {
+	is := is.New(t)
+	const n = 440
+	now := time.Unix(1000, 0)
+	c := newCore(Member{VM: "e000", Addr: "127.0.0.1:1", Condition: Alive, Boot: 1}, nil, now)
+	for i := 1; i < n; i++ {
+		c.put(Member{VM: fmt.Sprintf("e%03d", i), Addr: "127.0.0.1:1", Condition: Alive, Boot: 1}.item(), "", now)
+	}
+	c.effects(now)
+	sent := func(during time.Duration) (items int) {
+		for range 100 {
+			now = now.Add(during / 100)
+			c.receive("e001", gossip{checksums: make([]uint64, bucketCount)}, now)
+			for _, o := range c.effects(now).send {
+				items += len(o.message.items)
+			}
+		}
+		return items
+	}
+	first := sent(time.Second)
+	is.True(first >= 3*n && first <= exchangeBurst+exchangeRate+n) // several starting entries are told at once
+	next := sent(10 * time.Second)
+	is.True(next >= 10*exchangeRate-n && next <= 10*exchangeRate+n)
+}
