fleet, relay, entry: compute once for each change what follows from the members

Relays, the number of live entries and, as before, lease candidates were derived from all members ten times a second on each entry: work for each pair. fleet.Derived keeps such a value until the list of members changes, and replaces the one in lease.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -81,7 +82,10 @@
 	proxy     *proxy.Handler
 
 	entryCounter peakCounter
-	stopping     atomic.Bool
+	// liveCount is the number of entries that are alive.
+	liveMu    sync.Mutex
+	liveCount fleet.Derived[int]
+	stopping  atomic.Bool
 	// stopBy is the time at which a planned stop ends the requests that still run.
 	stopBy  atomic.Pointer[time.Time]
 	servers []*http.Server
@@ -92,6 +96,9 @@
 func New(l Listeners, opts ...Option) *Entry {
 	e := &Entry{options: newOptions(opts...), listeners: l, assembled: make(chan struct{})}
 	e.entryCounter.started = e.options.Clock.Now()
+	e.liveCount = fleet.NewDerived(func(members []fleet.Member) int {
+		return len(slices.DeleteFunc(slices.Clone(members), func(m fleet.Member) bool { return !m.Eligible() }))
+	})
 	e.transit = e.options.Meter.Histogram("state_transit_seconds", "Time from the sending of an update of the configuration until it was applied, by the clocks of both VMs.",
 		prometheus.ExponentialBuckets(0.002, 2, 12))
 	e.config.Store(proxy.NewConfig(state.State{}))
--- a/entry/status.go
+++ b/entry/status.go
@@ -119,13 +119,9 @@
 
 // liveMemberCount returns the number of entries that are alive, including this one.
 func (e *Entry) liveMemberCount() int {
-	n := 0
-	for _, m := range e.fleet.Members() {
-		if m.Eligible() {
-			n++
-		}
-	}
-	return n
+	e.liveMu.Lock()
+	defer e.liveMu.Unlock()
+	return e.liveCount.Of(e.fleet.Members())
 }
 
 // Links returns the links of this process.
--- /dev/null
+++ b/fleet/derived.go
@@ -0,0 +1,22 @@
+package fleet
+
+// Derived is a value that is computed from the members of the fleet, and kept until they change. It is
+// not safe for concurrent use.
+type Derived[T any] struct {
+	compute func([]Member) T
+	from    []Member
+	known   bool
+	value   T
+}
+
+// NewDerived returns a value that compute returns for a list of members.
+func NewDerived[T any](compute func([]Member) T) Derived[T] { return Derived[T]{compute: compute} }
+
+// Of returns the value for a list of members, which is replaced, not modified, when they change.
+func (d *Derived[T]) Of(members []Member) T {
+	same := len(members) == len(d.from) && (len(members) == 0 || &members[0] == &d.from[0])
+	if !d.known || !same {
+		d.value, d.from, d.known = d.compute(members), members, true
+	}
+	return d.value
+}
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -31,8 +31,6 @@
 	options Options
 	link    link.Transport
 	fleet   *fleet.Fleet
-	// members returns the members of the fleet. It returns the same slice until they change.
-	members func() []fleet.Member
 
 	mu       sync.Mutex
 	voter    *Voter
@@ -44,20 +42,19 @@
 	ranAsNonVoter bool
 	holders       map[string]Owner
 	failures      *failureTracker
-	// live are the live entries of the member list liveFrom.
-	live     liveMembers
-	liveFrom []fleet.Member
+	live          fleet.Derived[liveMembers]
 }
 
 // New returns a manager. Tick must be called every Period.
 func New(l link.Transport, f *fleet.Fleet, opts ...Option) *Manager {
 	o := newOptions(opts...)
 	m := &Manager{
-		options: o, link: l, fleet: f, members: f.Members,
+		options: o, link: l, fleet: f,
 		voter:    NewVoter(o.Clock.Now().Add(Duration + Duration/marginDivisor)),
 		holder:   NewHolder(),
 		holders:  make(map[string]Owner),
 		failures: newFailureTracker(),
+		live:     fleet.NewDerived(func(members []fleet.Member) liveMembers { return liveAmong(members, "") }),
 	}
 	f.Watch(fleet.KindLease, m.recordHolder)
 	return m
@@ -101,7 +98,7 @@
 		return
 	}
 	m.mu.Lock()
-	members := m.currentMembers()
+	members := m.live.Of(m.fleet.Members())
 	var names []string
 	if !m.stopping {
 		names = m.namesToRequest(now, members)
@@ -167,16 +164,6 @@
 	byDataCentre map[string][]string
 }
 
-// currentMembers returns the live entries. It must be called with the lock.
-func (m *Manager) currentMembers() liveMembers {
-	members := m.members()
-	same := len(members) == len(m.liveFrom) && len(members) > 0 && &members[0] == &m.liveFrom[0]
-	if !same {
-		m.live, m.liveFrom = liveAmong(members, ""), members
-	}
-	return m.live
-}
-
 // liveAmong returns the live entries among members except one, which may be empty.
 func liveAmong(members []fleet.Member, except string) liveMembers {
 	live := liveMembers{boots: make(map[string]uint64), byDataCentre: make(map[string][]string)}
@@ -389,7 +376,7 @@
 	if !takeover {
 		return
 	}
-	next := m.assigned(name, liveAmong(m.members(), holder.VM))
+	next := m.assigned(name, liveAmong(m.fleet.Members(), holder.VM))
 	m.options.EventLog.Record(event.LeaseDoubted, name, "held by "+holder.VM+", takeover requested from "+next)
 	if next == m.options.VM {
 		m.mu.Lock()
--- a/relay/probe.go
+++ b/relay/probe.go
@@ -9,31 +9,44 @@
 	"github.com/go-faster/errors"
 
 	"github.com/dottereldeal/dottereldeal/event"
+	"github.com/dottereldeal/dottereldeal/fleet"
 )
 
-// Tick finds out whether this VM is cut off, and drops idle tunnels through entries that stop.
-func (d *Dialer) Tick(now time.Time) {
-	usable := make(map[string]bool)
-	cutOff := 0
-	for _, m := range d.options.Members() {
-		usable[m.VM] = canRelay(m)
-		if m.CutOff && m.VM != d.options.VM {
-			cutOff++
+// relays are the entries that can relay, and the number of others that are cut off.
+type relays struct {
+	usable map[string]bool
+	cutOff int
+}
+
+// relaysAmong returns the relays that a VM has among the members of the fleet.
+func relaysAmong(members []fleet.Member, vm string) relays {
+	known := relays{usable: make(map[string]bool)}
+	for _, m := range members {
+		known.usable[m.VM] = canRelay(m)
+		if m.CutOff && m.VM != vm {
+			known.cutOff++
 		}
 	}
+	return known
+}
+
+// Tick finds out whether this VM is cut off, and drops idle tunnels through entries that stop.
+func (d *Dialer) Tick(now time.Time) {
+	members := d.options.Members()
 	quietAfter := d.options.QuietAfter()
 	d.mu.Lock()
+	known := d.relays.Of(members)
 	lost := false
 	for vm := range d.open {
-		lost = lost || !usable[vm]
+		lost = lost || !known.usable[vm]
 	}
 	for vm, at := range d.failedRelays {
 		if now.Sub(at) >= relayFailureTTL {
 			delete(d.failedRelays, vm)
 		}
 	}
-	suspicious := d.quietLocked(quietAfter, now) || cutOff > d.othersCutOff
-	d.othersCutOff = cutOff
+	suspicious := d.quietLocked(quietAfter, now) || known.cutOff > d.othersCutOff
+	d.othersCutOff = known.cutOff
 	probe := d.path.probeDue(suspicious, now)
 	d.mu.Unlock()
 	if lost {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -30,6 +30,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/dottereldeal/dottereldeal/fleet"
 )
 
 const (
@@ -94,12 +96,15 @@
 	// othersCutOff is the number of other entries that are cut off. What happened to them may
 	// have happened here as well.
 	othersCutOff int
+	relays       fleet.Derived[relays]
 }
 
 // New returns a dialer. Tick must be called every Period.
 func New(opener Opener, opts ...Option) *Dialer {
+	o := newOptions(opts...)
 	return &Dialer{
-		options: newOptions(opts...), opener: opener, path: newPath(), conns: make(map[*directConn]struct{}),
+		relays:  fleet.NewDerived(func(members []fleet.Member) relays { return relaysAmong(members, o.VM) }),
+		options: o, opener: opener, path: newPath(), conns: make(map[*directConn]struct{}),
 		failedRelays: make(map[string]time.Time), open: make(map[string]int),
 	}
 }
