relay: let probes that decide on a cut wait for links that are full

The probes that confirm a cut wait 0.8 s; single connections and the first probe 0.25 s as before. TestEntryOnAFullLinkIsNotCutOff failed before.

--- a/relay/probe.go
+++ b/relay/probe.go
@@ -61,11 +61,16 @@
 func (d *Dialer) probe() {
 	addrs := d.options.Servers()
 	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
-	addrs = addrs[:min(len(addrs), d.probeCount())]
+	count := d.probeCount()
+	addrs = addrs[:min(len(addrs), count)]
+	timeout := connectTimeout
+	if count > 1 {
+		timeout = confirmTimeout
+	}
 	results := make(chan error, len(addrs))
 	for _, addr := range addrs {
 		go func() {
-			conn, err := d.connect(context.Background(), addr, connectTimeout)
+			conn, err := d.connect(context.Background(), addr, timeout)
 			if err == nil {
 				conn.Close()
 			}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -41,6 +41,10 @@
 	// connection has not run and can be sent elsewhere, whereas TCP retransmits a lost
 	// handshake packet only after a second.
 	connectTimeout = 250 * time.Millisecond
+	// confirmTimeout is that of the probes that decide whether this VM is cut off. On a link that is
+	// full for a moment a handshake takes longer than connectTimeout, and an entry that
+	// takes itself for cut off serves nobody.
+	confirmTimeout = 800 * time.Millisecond
 	// relayDelay is the time after which a connection is tried through a relay as well. The
 	// rest of connectTimeout is left for that.
 	relayDelay = 100 * time.Millisecond
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -303,3 +303,30 @@
 		is.Equal(string(data), "part")
 	}
 }
+
+// Guards against entries that take themselves for cut off, and serve nobody, because their links are full of
+// bodies for a moment (SHORT after a power loss).
+func TestEntryOnAFullLinkIsNotCutOff(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	servers := []string{"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80", "10.0.0.4:80"}
+	slow := func(ctx context.Context, _ string) (net.Conn, error) {
+		select {
+		case <-time.After(2 * connectTimeout):
+			conn, _ := net.Pipe()
+			return conn, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	d := New(nil, VM("e1"), Servers(func() []string { return slices.Clone(servers) }, nil), Connect(slow),
+		Changed(func(bool) {}), CloseIdle(func() {}), QuietAfter(func() time.Duration { return time.Hour }),
+		Members(func() []fleet.Member { return nil }))
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(Period) {
+		for _, addr := range servers[:2] {
+			d.noteSlow(addr) // requests find the same
+		}
+		d.Tick(time.Now())
+		is.True(!d.CutOff())
+	}
+}
