fleet: contact one new seed at a time, and count all exchanged items

An entry that starts is told of four peers with each update, and exchanged everything with each of them that it did not know yet; items that the other side wanted did not count. After the power loss each of 440 entries sent 14,698 members' records, 33 for each entry.

With neighbours, one new seed a second is contacted, and wanted items use up the budget, which is 250 a second now.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -30,8 +30,10 @@
 	choiceIntervalPerMember = time.Millisecond
 	// exchangeRate is the number of items per second that an entry sends because checksums differ, and
 	// exchangeBurst how many it sends at once after a pause.
-	exchangeRate  = 500
-	exchangeBurst = 2000
+	exchangeRate  = 250
+	exchangeBurst = 1000
+	// seedInterval is the shortest time between two contacts with new seeds while there are neighbours.
+	seedInterval = time.Second
 	// seedRetryTicks is the number of ticks after which an entry without neighbours
 	// contacts its seeds again.
 	seedRetryTicks = 2
@@ -81,6 +83,8 @@
 	// exchangeBudget is the number of items that may be sent because checksums differ, as of budgetAt.
 	exchangeBudget float64
 	budgetAt       time.Time
+	// seedContactedAt is when a new seed was last contacted.
+	seedContactedAt time.Time
 	// membersChanged is set if members joined or left since neighbours were chosen, at
 	// neighboursChosenAt.
 	membersChanged     bool
@@ -181,14 +185,18 @@
 }
 
 // addSeed adds a seed, and contacts it if it is not a member: it may belong to a part of
-// the fleet with which this entry has had no contact.
-func (c *core) addSeed(vm string) {
+// the fleet with which this entry has had no contact. While hundreds of entries start it is one
+// that neighbours will tell of, so one is contacted at a time.
+func (c *core) addSeed(vm string, now time.Time) {
 	if !slices.Contains(c.seeds, vm) {
 		c.seeds = append(c.seeds, vm)
 	}
-	if _, member := c.members[vm]; !member {
-		c.contactSeed(vm)
+	_, member := c.members[vm]
+	if member || len(c.neighbours) > 0 && now.Sub(c.seedContactedAt) < seedInterval {
+		return
 	}
+	c.seedContactedAt = now
+	c.contactSeed(vm)
 }
 
 // contactSeed sends a seed this member's record and the checksums, which the seed answers
@@ -220,7 +228,9 @@
 		c.put(item, from, now)
 	}
 	if len(g.want) > 0 {
-		c.reply(from, gossip{items: c.store.itemsInBuckets(g.want), index: c.stateIndex})
+		items := c.store.itemsInBuckets(g.want)
+		c.exchangeBudget -= float64(len(items))
+		c.reply(from, gossip{items: items, index: c.stateIndex})
 	}
 	if differing := c.store.differingBuckets(g.checksums); len(differing) > 0 {
 		c.exchange(from, differing, now)
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -219,7 +219,7 @@
 	}
 	cl.run(5 * time.Second)
 	cl.expectMembers(t, 24)
-	cl.cores["e01"].addSeed("z03")
+	cl.cores["e01"].addSeed("z03", cl.now)
 	cl.run(3 * time.Second)
 	cl.expectMembers(t, 48)
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -133,7 +133,7 @@
 		return
 	}
 	f.transport.SetPeer(vm, addr)
-	f.step(func(time.Time) { f.core.addSeed(vm) })
+	f.step(func(now time.Time) { f.core.addSeed(vm, now) })
 }
 
 // ItemTraffic counts the items of one kind that were sent to other entries.
