sched: try doubtful servers that are overdue where no request may be repeated

A pool that gets uploads only kept them from servers that it doubted, unless more than the floor allows were overdue; it does not know which count.

--- a/sched/cost.go
+++ b/sched/cost.go
@@ -72,7 +72,8 @@
 		if overdue && (view.belowFloor || s.failureShare > overdueFailureShare) && len(req.Avoid) == 0 {
 			load -= overdueBonus
 		}
-		return gray + load, gray <= maxGrayNonIdempotent && !srv.rejecting(now) || overdue && view.belowFloor
+		tried := view.belowFloor || s.failureShare > overdueFailureShare && s.probesNothing(now)
+		return gray + load, gray <= maxGrayNonIdempotent && !srv.rejecting(now) || overdue && tried
 	}
 	if (gray > maxGrayIdempotent || srv.rejecting(now)) && !overdue {
 		return 0, false
@@ -80,6 +81,10 @@
 	return load*stalenessScale.Seconds() - srv.estimate.Age(now).Seconds() - s.explorationBonus(srv.estimate), true
 }
 
+// probesNothing reports whether the pool has no requests that may be repeated, by which it learns which
+// servers work again.
+func (s *scheduler) probesNothing(now time.Time) bool { return now.Sub(s.lastIdempotent) >= maxIdle }
+
 // belowFloor reports whether more servers are overdue than the floor permits while
 // requests are failing. Non-idempotent requests then go to doubtful servers too.
 func (s *scheduler) belowFloor(view poolView, now time.Time) bool {
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -155,12 +155,14 @@
 	serviceTime time.Duration
 	// failureShare is the share of the most recent requests that failed.
 	failureShare float64
-	paths        *paths
-	cutOff       cutOff
-	evidence     evidence
-	overflow     *overflow
-	backlog      backlog
-	versions     versions
+	// lastIdempotent is when the last request that may be repeated arrived.
+	lastIdempotent time.Time
+	paths          *paths
+	cutOff         cutOff
+	evidence       evidence
+	overflow       *overflow
+	backlog        backlog
+	versions       versions
 	// counter counts the results of the versions, nil while there is no roll-out.
 	counter *canary.Counter
 	// budget limits the retries of the whole fleet.
@@ -224,6 +226,9 @@
 		s.budget.Deposit()
 	}
 	s.backlog.arrived(now)
+	if req.Idempotent {
+		s.lastIdempotent = now
+	}
 	s.versions.arrived(req)
 	if req.Arrived && !req.Forwarded && !s.budget.Withdraw() {
 		return Placement{Request: req, RetryAfter: minRetryAfter, Reason: ReasonBudget}
--- a/sched/scheduler_test.go
+++ b/sched/scheduler_test.go
@@ -423,6 +423,21 @@
 	}
 }
 
+// Guards against a pool that keeps requests from sound servers, because one without requests that may be
+// repeated learns nothing of doubtful ones (FLOOR): it is not known which servers count towards the floor.
+func TestDoubtfulServersAreTriedWithoutIdempotentTraffic(t *testing.T) {
+	uploads := floorLoad{
+		servers: 60, slots: 4, perSecond: 160, grayDuration: 3600 * time.Millisecond, grayInterval: 12 * time.Second, errorRate: 0.15,
+	}
+	for seed := range uint64(5) {
+		minShare, failed := uploads.run(seed, floorWindow)
+		t.Logf("seed %d: %.3f of the requests failed, least share of servers %.2f", seed, failed, minShare)
+		if minShare < 1 {
+			t.Errorf("seed %d: only %.2f of the servers received requests in some window", seed, minShare)
+		}
+	}
+}
+
 // Operators allow retries in proportion to the requests of callers. Retries, and requests that
 // another cell has passed on after counting them, are no further requests.
 func TestOnlyFirstAttemptsEarnRetries(t *testing.T) {
