--- a/limit/delay_test.go
+++ b/limit/delay_test.go
@@ -40,10 +40,22 @@
 // after which they ask again (SHORT).
 func TestFleetIsServedByAHolderBehindASlowLink(t *testing.T) {
 	t.Parallel()
+	expectServed(t, 200*time.Millisecond)
+}
+
+// Tokens that arrive after their life, half a second from the request for them, serve nobody.
+func TestFleetIsServedByAHolderBehindAFullLink(t *testing.T) {
+	t.Parallel()
+	expectServed(t, 300*time.Millisecond)
+}
+
+// expectServed checks that 440 entries serve a workspace at half its rate if messages take a time each way.
+func expectServed(t *testing.T, delay time.Duration) {
+	t.Helper()
 	is := is.New(t)
 	const entries, perSecond, seconds = 440, 150, 3
 	w := state.Workspace{Name: "west", Rate: 2 * perSecond, Burst: 2 * perSecond}
-	network := &delayedNetwork{delay: 200 * time.Millisecond, nodes: make(map[string]*Distributed)}
+	network := &delayedNetwork{delay: delay, nodes: make(map[string]*Distributed)}
 	c := clock.New()
 	t.Cleanup(c.Stop)
 	tolerance := Tolerance{Window: 5 * time.Second, Excess: 0.1, Slack: 20}
