--- a/link/kinds_test.go
+++ b/link/kinds_test.go
@@ -22,3 +22,12 @@
 		"gossip":    {Sent: 1, SentBytes: 5, Received: 1, ReceivedBytes: 7, Handled: time.Millisecond},
 	})
 }
+
+func TestStatsKeepTheCountsOfSentMessages(t *testing.T) {
+	is := is.New(t)
+	var c transport
+	c.kinds.addSent(&wire.Envelope{Body: &wire.Envelope_Gossip{}}, 5, 0)
+	c.kinds.addReceived(&wire.Envelope{Body: &wire.Envelope_LeaseAsk{}}, 5, 0)
+	is.Equal(c.Stats().SentByKind, map[string]uint64{"gossip": 1})
+	is.Equal(len(c.Stats().Kinds), 2)
+}
--- a/link/link.go
+++ b/link/link.go
@@ -77,8 +77,9 @@
 	ReceivedBytes    uint64 `json:"received-bytes"`
 	DroppedMessages  uint64 `json:"dropped-messages"`
 	Sessions         int    `json:"sessions"`
-	// Kinds holds counters by the type of the messages' body.
-	Kinds map[string]KindStats `json:"kinds"`
+	// SentByKind counts the sent messages by the type of their body, and Kinds holds all counters by it.
+	SentByKind map[string]uint64    `json:"sent-by-kind"`
+	Kinds      map[string]KindStats `json:"kinds"`
 }
 
 // New accepts connections on the listener until Stop is called.
--- a/link/transport.go
+++ b/link/transport.go
@@ -146,6 +146,13 @@
 	t.mu.Lock()
 	sessions := len(t.sessions)
 	t.mu.Unlock()
+	kinds := t.kinds.stats()
+	sentByKind := make(map[string]uint64)
+	for kind, k := range kinds {
+		if k.Sent > 0 {
+			sentByKind[kind] = k.Sent
+		}
+	}
 	return Stats{
 		SentMessages:     t.sentMessages.Load(),
 		SentBytes:        t.sentBytes.Load(),
@@ -153,7 +160,8 @@
 		ReceivedBytes:    t.receivedBytes.Load(),
 		DroppedMessages:  t.dropped.Load(),
 		Sessions:         sessions,
-		Kinds:            t.kinds.stats(),
+		SentByKind:       sentByKind,
+		Kinds:            kinds,
 	}
 }
 
