--- a/gauge/spread.go
+++ b/gauge/spread.go
@@ -8,13 +8,13 @@
 	"runtime"
 	"slices"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/dottereldeal/dottereldeal/conf"
 	"github.com/dottereldeal/dottereldeal/local"
+	"github.com/dottereldeal/dottereldeal/meter"
 	"github.com/dottereldeal/dottereldeal/state"
 )
 
@@ -135,7 +135,7 @@
 
 // calm measures the control traffic without tickets or callers.
 func (r *spreadRun) calm(entries int) {
-	sent, control, busy := r.sentBytes(), r.controlBytes(), processorTime()
+	sent, control, busy := r.sentBytes(), r.controlBytes(), meter.ProcessorTime()
 	began := time.Now()
 	time.Sleep(spreadCalm)
 	seconds := time.Since(began).Seconds()
@@ -150,7 +150,7 @@
 	fmt.Fprintf(r.out, "calm, %d entries: each sends %.2f KB/s and holds %.1f sessions; control VMs send %.2f KB/s together; processor %.3f%% of a core for each entry; heap %.2f MB for each entry\n",
 		entries, float64(r.sentBytes()-sent)/seconds/n/1e3, float64(sessions)/n,
 		float64(r.controlBytes()-control)/seconds/1e3,
-		100*(processorTime()-busy).Seconds()/seconds/n, float64(memory.HeapInuse)/n/(1<<20))
+		100*(meter.ProcessorTime()-busy).Seconds()/seconds/n, float64(memory.HeapInuse)/n/(1<<20))
 }
 
 // tickets measures the time from sending a small ticket to in-force.
@@ -170,12 +170,3 @@
 		count, entries, times[count/2].Round(time.Millisecond), times[count*99/100].Round(time.Millisecond), bytes, time.Since(began).Seconds())
 	return nil
 }
-
-// processorTime returns the processor time that this process has used.
-func processorTime() time.Duration {
-	var usage syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -10,6 +10,9 @@
 package meter
 
 import (
+	"syscall"
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promauto"
@@ -33,6 +36,15 @@
 	return &Meter{registry: registry, factory: promauto.With(registry)}
 }
 
+// ProcessorTime returns the processor time that this process has used.
+func ProcessorTime() time.Duration {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
 // Gatherer returns the source of the /metrics page.
 func (m *Meter) Gatherer() prometheus.Gatherer { return m.registry }
 
--- a/prog/process.go
+++ b/prog/process.go
@@ -201,20 +201,11 @@
 	}); ok {
 		attrs = append(attrs, "gossip", member.Gossip())
 	}
-	l.Info("traffic", append(attrs, "processor", processorTime(), "sent-messages", s.SentMessages, "sent-bytes", s.SentBytes,
+	l.Info("traffic", append(attrs, "processor", meter.ProcessorTime(), "sent-messages", s.SentMessages, "sent-bytes", s.SentBytes,
 		"received-messages", s.ReceivedMessages, "received-bytes", s.ReceivedBytes, "dropped-messages", s.DroppedMessages,
 		"sessions", s.Sessions, "kinds", s.Kinds)...)
 }
 
-// processorTime returns the processor time that this process has used.
-func processorTime() time.Duration {
-	var usage syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
 // linked is a process of a fleet with links to others.
 type linked interface {
 	Run(ctx context.Context) error
