fleet, pick, proxy, entry: say once what this change said twice

Three places compared lists by identity (fleet.SameList now), pick.Eligible repeated the condition of IsEligible, live entries were counted by copying the list, and WithState built a value that it often dropped. The configuration has a file of its own.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,7 +13,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,9 +95,7 @@
 func New(l Listeners, opts ...Option) *Entry {
 	e := &Entry{options: newOptions(opts...), listeners: l, assembled: make(chan struct{})}
 	e.entryCounter.started = e.options.Clock.Now()
-	e.liveCount = fleet.NewDerived(func(members []fleet.Member) int {
-		return len(slices.DeleteFunc(slices.Clone(members), func(m fleet.Member) bool { return !m.Eligible() }))
-	})
+	e.liveCount = fleet.NewDerived(countEligible)
 	e.transit = e.options.Meter.Histogram("state_transit_seconds", "Time from the sending of an update of the configuration until it was applied, by the clocks of both VMs.",
 		prometheus.ExponentialBuckets(0.002, 2, 12))
 	e.config.Store(proxy.NewConfig(state.State{}))
--- a/entry/status.go
+++ b/entry/status.go
@@ -117,6 +117,16 @@
 	return e.entryCounter.count(e.MemberCount(), e.options.Clock.Now())
 }
 
+func countEligible(members []fleet.Member) int {
+	n := 0
+	for _, m := range members {
+		if m.Eligible() {
+			n++
+		}
+	}
+	return n
+}
+
 // liveMemberCount returns the number of entries that are alive, including this one.
 func (e *Entry) liveMemberCount() int {
 	e.liveMu.Lock()
--- a/pick/roundrobin.go
+++ b/pick/roundrobin.go
@@ -128,7 +128,7 @@
 			isOut = current.IsDataCentreOut(t.DataCentre)
 			out[t.DataCentre] = isOut
 		}
-		if t.Phase != fleet.Leaving && !isOut {
+		if isEligible(t, isOut) {
 			list = append(list, t)
 		}
 	}
@@ -137,5 +137,7 @@
 
 // IsEligible reports whether a backend server may receive new requests.
 func IsEligible(t fleet.Target, current state.State) bool {
-	return t.Phase != fleet.Leaving && !current.IsDataCentreOut(t.DataCentre)
+	return isEligible(t, current.IsDataCentreOut(t.DataCentre))
 }
+
+func isEligible(t fleet.Target, isOut bool) bool { return t.Phase != fleet.Leaving && !isOut }
--- a/pool/cell.go
+++ b/pool/cell.go
@@ -89,8 +89,7 @@
 		return next
 	}
 	l.pools.Range(func(pool, list any) bool {
-		before, now := l.directory.Pool(pool.(string)), directory.Pool(pool.(string))
-		if len(before) == len(now) && (len(now) == 0 || &before[0] == &now[0]) {
+		if fleet.SameList(l.directory.Pool(pool.(string)), directory.Pool(pool.(string))) {
 			next.pools.Store(pool, list)
 		}
 		return true
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -43,36 +43,6 @@
 	ErrStalled = errors.New("the transfer of the body stalled")
 )
 
-// Config is an immutable snapshot of the configuration. Each request is processed
-// with a single snapshot.
-type Config struct {
-	State  state.State
-	Routes *route.Table
-	// Pools holds the settings of all pools, so that they are listed only once per state.
-	Pools []state.Pool
-}
-
-// NewConfig returns the configuration of a state with its routing table.
-func NewConfig(s state.State) *Config {
-	return &Config{State: s, Routes: route.New(state.List[state.Route](s)), Pools: state.List[state.Pool](s)}
-}
-
-// WithState returns the configuration of the next state. What the changes in between do not concern is
-// shared: most of them are registrations of backend servers.
-func (c *Config) WithState(next state.State) *Config {
-	changed, known := next.ChangedSince(c.State.Index())
-	if !known {
-		return NewConfig(next)
-	}
-	shared := &Config{State: next, Routes: c.Routes, Pools: c.Pools}
-	for _, ref := range changed {
-		if ref.Kind == state.KindRoute || ref.Kind == state.KindPool {
-			return NewConfig(next)
-		}
-	}
-	return shared
-}
-
 // Handler is an http.Handler that forwards requests to backend servers.
 type Handler struct {
 	options     Options
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -52,7 +52,7 @@
 
 // HasTargets reports whether the holder was given this very list of servers.
 func (h *Holder) HasTargets(targets []fleet.Target) bool {
-	return h.view.ramp != nil && sameSlice(targets, h.view.targets)
+	return h.view.ramp != nil && fleet.SameList(targets, h.view.targets)
 }
 
 // Place assigns, queues, forwards or refuses a request. Decisions on queued requests that it
--- a/sched/server.go
+++ b/sched/server.go
@@ -151,7 +151,7 @@
 func (s *scheduler) sync(view poolView, now time.Time) {
 	s.versions.set(view.trial)
 	s.counter = view.counter
-	if sameSlice(s.synced, view.targets) {
+	if fleet.SameList(s.synced, view.targets) {
 		return
 	}
 	s.synced = view.targets
@@ -212,8 +212,3 @@
 		}
 	}
 }
-
-// sameSlice reports whether two slices are the same, not only equal.
-func sameSlice(a, b []fleet.Target) bool {
-	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
-}
