--- a/limit/asks.go
+++ b/limit/asks.go
@@ -15,14 +15,14 @@
 	maxAsks = 8
 )
 
-// ask is a token request that was sent to a holder.
+// ask is a token request that was sent to the holder.
 type ask struct {
 	seq    uint64
-	holder string
 	sentAt time.Time
 }
 
-// asks holds the unanswered token requests for one workspace, and how long its holder takes to answer.
+// asks holds the unanswered token requests for one workspace to its present holder, and how long that
+// takes to answer.
 //
 // On a link that is full of bodies an answer takes longer than usual. If a repeated request made an
 // entry drop the answer to the earlier one, no answer would ever be accepted while they take longer
@@ -70,9 +70,9 @@
 
 // answered removes the request that an answer belongs to, and those before it: a link keeps its order.
 // It reports false if there is none, as for a repeated answer.
-func (a *asks) answered(holder string, seq uint64, now time.Time) (ask, bool) {
+func (a *asks) answered(seq uint64, now time.Time) (ask, bool) {
 	for i, one := range a.open {
-		if one.seq != seq || one.holder != holder {
+		if one.seq != seq {
 			continue
 		}
 		a.answers.Learn(now.Sub(one.sentAt))
--- a/limit/distributed.go
+++ b/limit/distributed.go
@@ -230,7 +230,7 @@
 		return
 	}
 	c.seq++
-	c.asks.add(ask{seq: c.seq, holder: holder, sentAt: now})
+	c.asks.add(ask{seq: c.seq, sentAt: now})
 	request := &wire.TokenAsk{
 		Workspace: workspace, Seq: c.seq, Tokens: uint32(needed), Returned: uint32(c.cache.TakeExpired()),
 		MaxWaitMicros: uint64(MaxWait.Microseconds()),
@@ -268,10 +268,10 @@
 // receiveAnswerLocked handles an answer if it belongs to an unanswered request, with the lock.
 func (d *Distributed) receiveAnswerLocked(from string, m *wire.TokenAnswer, now time.Time) {
 	c, ok := d.clients[m.GetWorkspace()]
-	if !ok {
+	if !ok || from != c.holder {
 		return
 	}
-	if request, ok := c.asks.answered(from, m.GetSeq(), now); ok && from == c.holder {
+	if request, ok := c.asks.answered(m.GetSeq(), now); ok {
 		d.applyAnswer(m.GetWorkspace(), c, m, request.sentAt, now)
 	}
 }
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -159,7 +159,7 @@
 		}
 		c := s.client("w", time.Unix(100, 0))
 		c.holder, c.seq = "e2", seq
-		c.asks.add(ask{seq: seq, holder: "e2", sentAt: time.Unix(100, 0)})
+		c.asks.add(ask{seq: seq, sentAt: time.Unix(100, 0)})
 		s.receiveAnswer("e2", &wire.TokenAnswer{Workspace: "w", Seq: seq, Tokens: tokens, WaitMicros: wait, LifetimeMicros: lifetime})
 	})
 }
