--- a/link/transport.go
+++ b/link/transport.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"crypto/tls"
-	"encoding/binary"
 	"io"
 	"net"
 	"net/netip"
@@ -14,6 +13,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/dottereldeal/dottereldeal/cert"
@@ -330,22 +330,12 @@
 
 // readEnvelope reads a message, and returns it with its size without the length prefix.
 func readEnvelope(reader *bufio.Reader) (*wire.Envelope, int, error) {
-	size, err := binary.ReadUvarint(reader)
-	if err != nil {
-		return nil, 0, err
-	}
-	if size > maxMessageBytes {
-		return nil, 0, errors.Errorf("message of %d bytes exceeds the limit of %d bytes", size, maxMessageBytes)
-	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(reader, data); err != nil {
-		return nil, 0, err
-	}
 	e := &wire.Envelope{}
-	if err := proto.Unmarshal(data, e); err != nil {
+	options := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
+	if err := options.UnmarshalFrom(reader, e); err != nil {
 		return nil, 0, err
 	}
-	return e, int(size), nil
+	return e, proto.Size(e), nil
 }
 
 // countingReader counts the bytes read from a stream.
