--- a/ctrl/propose.go
+++ b/ctrl/propose.go
@@ -50,6 +50,10 @@
 func (c *Control) proposeLocally(ctx context.Context, ask *wire.ProposalAsk) (ledger.Outcome, error) {
 	answer := make(chan ledger.Outcome, 1)
 	received := c.options.Clock.Now()
+	proposal, err := ledger.DecodeProposal(ask.GetData())
+	if err != nil {
+		return ledger.Outcome{}, err
+	}
 	var proposeErr error
 	for {
 		if err := c.do(ctx, func() { proposeErr = c.propose(ask, answer) }); err != nil {
@@ -67,10 +71,8 @@
 		if !ok {
 			return ledger.Outcome{}, errors.Wrap(ErrNotLeader, "proposal dropped before it was applied")
 		}
-		if outcome.Verdict == ledger.Accepted && !outcome.Repeated {
-			if p, err := ledger.DecodeProposal(ask.GetData()); err == nil && restricts(p) {
-				c.awaitDelivery(ctx, outcome.Index, received.Add(deliveryTimeout))
-			}
+		if outcome.Verdict == ledger.Accepted && !outcome.Repeated && restricts(proposal) {
+			c.awaitDelivery(ctx, outcome.Index, received.Add(deliveryTimeout))
 		}
 		return outcome, nil
 	case <-ctx.Done():
