--- a/ctrl/loop.go
+++ b/ctrl/loop.go
@@ -14,6 +14,28 @@
 	"github.com/dottereldeal/dottereldeal/wire"
 )
 
+// step passes a message of another replica to the quorum node.
+func (c *Control) step(m quorum.Message) {
+	c.lastHeard[m.From] = c.options.Clock.Now()
+	c.contacts.heard(c.vms[m.From], c.lastHeard[m.From])
+	c.node.Step(m)
+}
+
+// runQueued runs what waits in the queues, up to maxBatch, so that one write to disk and one message to
+// each replica serve all of it.
+func (c *Control) runQueued() {
+	for range maxBatch {
+		select {
+		case f := <-c.work:
+			f()
+		case m := <-c.inbox:
+			c.step(m)
+		default:
+			return
+		}
+	}
+}
+
 // receive dispatches a message from the links. It runs on the links' goroutines.
 func (c *Control) receive(from string, e *wire.Envelope) {
 	switch body := e.GetBody().(type) {
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -28,12 +28,6 @@
 	// by with each member. New neighbours exchange all items that one of them lacks, which is
 	// most of them while the fleet starts.
 	choiceIntervalPerMember = time.Millisecond
-	// exchangeRate is the number of items per second that an entry sends because checksums differ, and
-	// exchangeBurst how many it sends at once after a pause.
-	exchangeRate  = 250
-	exchangeBurst = 1000
-	// maxExchangeDebt bounds what an entry must make up for before it exchanges items again.
-	maxExchangeDebt = 2 * exchangeRate
 	// seedInterval is the shortest time between two contacts with new seeds while there are neighbours.
 	seedInterval = time.Second
 	// seedRetryTicks is the number of ticks after which an entry without neighbours
@@ -239,26 +233,6 @@
 	}
 }
 
-// exchange answers checksums that differ with the items of these buckets, and requests the sender's. While
-// hundreds of entries start, nearly all buckets differ all the time and what would be sent is on its way
-// already; exchanges above exchangeRate are left to the next comparison.
-func (c *core) exchange(with string, differing []uint32, now time.Time) {
-	c.exchangeBudget = min(c.exchangeBudget+exchangeRate*now.Sub(c.budgetAt).Seconds(), exchangeBurst)
-	c.budgetAt = now
-	if c.exchangeBudget <= 0 {
-		return
-	}
-	items := c.store.itemsInBuckets(differing)
-	c.spend(items)
-	c.reply(with, gossip{items: items, index: c.stateIndex, want: differing})
-}
-
-// spend takes items from the budget. However many others have requested, entries that start are answered
-// again after a moment.
-func (c *core) spend(items []Item) {
-	c.exchangeBudget = max(c.exchangeBudget-float64(len(items)), -maxExchangeDebt)
-}
-
 func (c *core) reply(to string, g gossip) {
 	c.queued.send = append(c.queued.send, outgoing{to, g})
 }
